--- /dev/null
+++ b/src/cornellever/backend/log.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <jsoncpp/json/value.h>
+
+namespace cornellever::backend {
+
+/// A statement as it is shipped to replicas: SQL text and its parameters.
+struct logged_statement {
+    std::string sql;
+    Json::Value params;
+};
+
+/// One committed write transaction at a log position.
+struct log_entry {
+    std::uint64_t position{0};
+    std::uint64_t term{0};
+    std::chrono::steady_clock::time_point committed_at;
+    std::vector<logged_statement> statements;
+};
+
+/// The primary's log of committed writes, kept in memory for shipping.
+class write_log {
+public:
+    /// Appends a committed transaction at the next position, which it returns.
+    std::uint64_t append(std::uint64_t term, std::vector<logged_statement> statements,
+                         std::chrono::steady_clock::time_point now);
+
+    /// The entries after `position`, at most `limit` of them.
+    [[nodiscard]] std::vector<const log_entry*> after(std::uint64_t position, std::size_t limit) const;
+
+    /// The entry at `position`, or null when it is not held.
+    [[nodiscard]] const log_entry* at(std::uint64_t position) const;
+
+    /// The position of the last entry; 0 for an empty log.
+    [[nodiscard]] std::uint64_t last() const noexcept { return m_last; }
+
+    /// Continues numbering from `position`, as a replica promoted to primary does.
+    void reset(std::uint64_t position) { m_entries.clear(); m_last = position; }
+
+    /// Entries held.
+    [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
+
+private:
+    std::deque<log_entry> m_entries;
+    std::uint64_t m_last{0};
+};
+
+/// A log entry as JSON for the `replicate` call.
+[[nodiscard]] Json::Value to_json(const log_entry& entry);
+
+/// A log entry back from JSON; statements without SQL are dropped.
+[[nodiscard]] log_entry entry_from_json(const Json::Value& value);
+
+} // namespace cornellever::backend
--- /dev/null
+++ b/src/cornellever/backend/main.cpp
@@ -0,0 +1,79 @@
+#include <tclap/CmdLine.h>
+
+#include "cornellever/backend/instance.hpp"
+#include "cornellever/core/daemon.hpp"
+#include "cornellever/core/role.hpp"
+
+namespace cornellever {
+
+namespace {
+
+bool parse_endpoints(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
+    for (const auto& text : texts) {
+        tcp::endpoint where;
+        if (!parse_endpoint(text, where)) {
+            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
+            return false;
+        }
+        out.push_back(where);
+    }
+    return true;
+}
+
+} // namespace
+
+int backend_main(std::span<char*> args) {
+    TCLAP::CmdLine cmd{"Stand-in database server instance holding a SQLite database", ' ', "0.1"};
+    TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT to listen on", true, "", "address", cmd};
+    TCLAP::ValueArg<std::string> name{"", "name", "instance name", true, "", "name", cmd};
+    TCLAP::ValueArg<std::string> role{"", "role", "primary or replica", false, "replica", "role", cmd};
+    TCLAP::ValueArg<std::uint64_t> term{"", "term", "starting term", false, 1, "term", cmd};
+    TCLAP::MultiArg<std::string> replicas{"", "replica", "IP:PORT of a replica to ship to", false, "address", cmd};
+    TCLAP::MultiArg<std::string> scripts{"", "sql", "SQL script run at start, in order", false, "path", cmd};
+    TCLAP::ValueArg<std::string> folder{"", "data", "folder for the database file", true, "", "path", cmd};
+    TCLAP::ValueArg<int> lag{"", "lag-ms", "how long shipped writes are held back", false, 0, "ms", cmd};
+    TCLAP::ValueArg<int> delay{"", "connect-delay-ms", "cost of a new connection", false, 0, "ms", cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level",
+                                       cmd};
+    cmd.parse(static_cast<int>(args.size()), args.data());
+    if (!start_logging("backend", level.getValue())) {
+        return 2;
+    }
+    backend::instance_settings settings;
+    settings.name = name.getValue();
+    settings.starts_as = role.getValue() == "primary" ? backend::role::primary : backend::role::replica;
+    settings.term = term.getValue();
+    settings.folder = folder.getValue();
+    settings.lag = std::chrono::milliseconds{lag.getValue()};
+    settings.connect_delay = std::chrono::milliseconds{delay.getValue()};
+    for (const auto& script : scripts.getValue()) {
+        settings.scripts.emplace_back(script);
+    }
+    tcp::endpoint where;
+    if (!parse_endpoint(listen.getValue(), where) || !parse_endpoints(replicas.getValue(), settings.replicas)) {
+        return 2;
+    }
+    asio::io_context io;
+    auto created = backend::instance::create(io.get_executor(), settings);
+    if (!created) {
+        std::fprintf(stderr, "cannot start: %s\n", created.error().message.c_str());
+        return 1;
+    }
+    rpc::server rpc{io.get_executor()};
+    (*created)->bind(rpc);
+    auto bound = rpc.listen(where);
+    if (!bound) {
+        log_event(event::listen_failed, "reason=\"" + bound.error().message + "\"");
+        return 1;
+    }
+    rpc.start();
+    (*created)->start();
+    log_event(event::process_started, "role=backend name=" + settings.name + " listen=" + to_string(*bound) +
+                                          " as=" + role.getValue());
+    auto signals = on_stop_signal(io, [&] { io.stop(); });
+    io.run();
+    log_event(event::process_stopped, "role=backend name=" + settings.name);
+    return 0;
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/bench/load.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/metrics/latency.hpp"
+
+namespace cornellever::bench {
+
+/// A closed-loop load: `sessions` callers each sending one statement after
+/// another for `duration`, every call with the method and params given.
+struct load_plan {
+    tcp::endpoint target;
+    std::string method;
+    Json::Value params;
+    std::size_t sessions{8};
+    std::chrono::milliseconds duration{2000};
+};
+
+/// What a load run measured.
+struct load_figures {
+    std::size_t completed{0};
+    std::size_t failed{0};
+    std::chrono::nanoseconds elapsed{0};
+    metrics::latency latency;
+
+    [[nodiscard]] double per_second() const;
+};
+
+/// Runs the plan on one thread and returns the figures.
+[[nodiscard]] load_figures run_load(const load_plan& plan);
+
+} // namespace cornellever::bench
--- /dev/null
+++ b/src/cornellever/bench/main.cpp
@@ -0,0 +1,124 @@
+#include <cstdio>
+#include <fstream>
+
+#include <tclap/CmdLine.h>
+
+#include "cornellever/bench/load.hpp"
+#include "cornellever/bench/session_script.hpp"
+#include "cornellever/core/daemon.hpp"
+#include "cornellever/core/role.hpp"
+#include "cornellever/rpc/envelope.hpp"
+
+namespace cornellever {
+
+namespace {
+
+bool parse_all(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
+    for (const auto& text : texts) {
+        tcp::endpoint where;
+        if (!parse_endpoint(text, where)) {
+            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
+            return false;
+        }
+        out.push_back(where);
+    }
+    return !out.empty();
+}
+
+int run_session_mode(const std::string& script, const std::vector<tcp::endpoint>& proxies,
+                     const std::string& transcript) {
+    auto steps = bench::read_session_script(script);
+    if (!steps) {
+        std::fprintf(stderr, "%s\n", steps.error().message.c_str());
+        return 2;
+    }
+    const auto exchanges = bench::run_session(*steps, proxies);
+    std::ofstream out;
+    if (!transcript.empty()) {
+        out.open(transcript, std::ios::trunc);
+    }
+    int failures = 0;
+    for (std::size_t index = 0; index < exchanges.size(); ++index) {
+        const auto& item = exchanges[index];
+        const auto& step = (*steps)[index];
+        const auto& served = item.answer["served_by"];
+        std::printf("%-2zu proxy %c  %-8s %-44s -> %s%s%s\n", index + 1, static_cast<char>('A' + item.proxy),
+                    item.method.c_str(), step.say.c_str(), item.ok ? "ok" : item.answer["error"].asCString(),
+                    served.isObject() ? (" by " + served["role"].asString() + " " + served["instance"].asString()).c_str() : "",
+                    item.answer["rows"].isArray() && !item.answer["rows"].empty()
+                        ? ("  rows " + rpc::to_text(item.answer["rows"])).c_str()
+                        : "");
+        failures += item.ok ? 0 : 1;
+        if (out) {
+            out << rpc::to_text(bench::normalised(item)) << "\n";
+        }
+    }
+    std::printf("session: %zu requests, %d failed\n", exchanges.size(), failures);
+    return 0;
+}
+
+void print_figures(const char* label, const bench::load_figures& figures) {
+    std::printf("%-22s %8zu ok %4zu failed  %9.0f statements/s  p50 %7.0f us  p99 %7.0f us\n", label,
+                figures.completed, figures.failed, figures.per_second(), figures.latency.quantile_us(0.5),
+                figures.latency.quantile_us(0.99));
+}
+
+int run_load_mode(const tcp::endpoint& proxy, const tcp::endpoint& direct, const std::string& service,
+                  const std::string& database, const std::string& sql, std::size_t sessions, int millis) {
+    Json::Value statement;
+    statement["sql"] = sql;
+    statement["params"] = Json::arrayValue;
+    auto through = statement;
+    through["service"] = service;
+    through["database"] = database;
+    through["mode"] = "write";
+    const auto duration = std::chrono::milliseconds{millis};
+    const auto via_proxy = bench::run_load({proxy, "execute", through, sessions, duration});
+    const auto straight = bench::run_load({direct, "execute", statement, sessions, duration});
+    print_figures("through the proxy", via_proxy);
+    print_figures("straight to backend", straight);
+    std::printf("ratio proxy/direct: throughput %.2f  p50 %.2f  p99 %.2f\n",
+                via_proxy.per_second() / std::max(straight.per_second(), 1e-9),
+                via_proxy.latency.quantile_us(0.5) / std::max(straight.latency.quantile_us(0.5), 1e-9),
+                via_proxy.latency.quantile_us(0.99) / std::max(straight.latency.quantile_us(0.99), 1e-9));
+    return via_proxy.failed + straight.failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int bench_main(std::span<char*> args) {
+    TCLAP::CmdLine cmd{"Load and experiment tool: scripted sessions and load through proxies", ' ', "0.1"};
+    TCLAP::UnlabeledValueArg<std::string> mode{"mode", "session or load", true, "", "mode", cmd};
+    TCLAP::MultiArg<std::string> proxies{"", "proxy", "IP:PORT of a proxy (repeat for more)", false, "address", cmd};
+    TCLAP::ValueArg<std::string> script{"", "script", "session script (JSON)", false, "", "path", cmd};
+    TCLAP::ValueArg<std::string> transcript{"", "transcript", "write the normalised session here", false, "",
+                                            "path", cmd};
+    TCLAP::ValueArg<std::string> direct{"", "direct", "IP:PORT of the backend primary (load)", false, "",
+                                        "address", cmd};
+    TCLAP::ValueArg<std::string> service{"", "service", "service (load)", false, "stockbook", "name", cmd};
+    TCLAP::ValueArg<std::string> database{"", "database", "database (load)", false, "catalogue", "name", cmd};
+    TCLAP::ValueArg<std::string> sql{"", "sql", "statement (load)", false,
+                                     "SELECT id, kind, price_fjd FROM units WHERE id = 1", "sql", cmd};
+    TCLAP::ValueArg<std::size_t> sessions{"", "sessions", "concurrent sessions (load)", false, 8, "count", cmd};
+    TCLAP::ValueArg<int> millis{"", "duration-ms", "how long each load runs", false, 2000, "ms", cmd};
+    cmd.parse(static_cast<int>(args.size()), args.data());
+    init_logging("bench", severity::warning);
+    std::vector<tcp::endpoint> targets;
+    if (!parse_all(proxies.getValue(), targets)) {
+        std::fprintf(stderr, "give at least one --proxy IP:PORT\n");
+        return 2;
+    }
+    if (mode.getValue() == "session") {
+        return run_session_mode(script.getValue(), targets, transcript.getValue());
+    }
+    tcp::endpoint backend;
+    if (mode.getValue() == "load" && parse_endpoint(direct.getValue(), backend)) {
+        return run_load_mode(targets.front(), backend, service.getValue(), database.getValue(), sql.getValue(),
+                             sessions.getValue(), millis.getValue());
+    }
+    std::fprintf(stderr, "usage: cornellever bench session --proxy A --proxy B --script FILE [--transcript OUT]\n"
+                         "       cornellever bench load --proxy A --direct BACKEND [--sessions N --duration-ms M]\n");
+    return 2;
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/config/json.cpp
@@ -0,0 +1,98 @@
+#include "cornellever/config/json.hpp"
+
+namespace cornellever::config {
+
+namespace {
+
+Json::Value instance_to_json(const instance& item) {
+    Json::Value out;
+    out["name"] = item.name;
+    out["zone"] = item.zone;
+    out["address"] = item.address;
+    out["connections"] = item.connections;
+    return out;
+}
+
+result<instance> instance_from_json(const Json::Value& value) {
+    if (!value.isObject() || !value["name"].isString() || !value["address"].isString()) {
+        return fail(errc::bad_request, "instance needs name and address");
+    }
+    return instance{value["name"].asString(), value["zone"].asString(), value["address"].asString(),
+                    value.get("connections", default_connections).asInt()};
+}
+
+result<database> database_from_json(const Json::Value& value) {
+    database out{value["name"].asString(), {}};
+    for (const auto& item : value["instances"]) {
+        auto parsed = instance_from_json(item);
+        if (!parsed) {
+            return std::unexpected{parsed.error()};
+        }
+        out.instances.push_back(std::move(*parsed));
+    }
+    return out;
+}
+
+result<service> service_from_json(const Json::Value& value) {
+    service out;
+    out.name = value["name"].asString();
+    out.max_staleness = std::chrono::milliseconds{value.get("max_staleness_ms", 0).asInt64()};
+    for (const auto& item : value["databases"]) {
+        auto parsed = database_from_json(item);
+        if (!parsed) {
+            return std::unexpected{parsed.error()};
+        }
+        out.databases.push_back(std::move(*parsed));
+    }
+    return out;
+}
+
+} // namespace
+
+Json::Value to_json(const cluster& config) {
+    Json::Value out;
+    out["name"] = config.name;
+    out["zones"] = Json::arrayValue;
+    for (const auto& zone : config.zones) {
+        out["zones"].append(zone);
+    }
+    out["services"] = Json::arrayValue;
+    for (const auto& item : config.services) {
+        Json::Value svc;
+        svc["name"] = item.name;
+        svc["max_staleness_ms"] = static_cast<Json::Int64>(item.max_staleness.count());
+        svc["databases"] = Json::arrayValue;
+        for (const auto& db : item.databases) {
+            Json::Value entry;
+            entry["name"] = db.name;
+            entry["instances"] = Json::arrayValue;
+            for (const auto& inst : db.instances) {
+                entry["instances"].append(instance_to_json(inst));
+            }
+            svc["databases"].append(entry);
+        }
+        out["services"].append(svc);
+    }
+    return out;
+}
+
+result<cluster> from_json(const Json::Value& value) {
+    if (!value.isObject() || !value["services"].isArray()) {
+        return fail(errc::bad_request, "configuration needs a services array");
+    }
+    cluster out;
+    out.name = value["name"].asString();
+    for (const auto& zone : value["zones"]) {
+        out.zones.push_back(zone.asString());
+    }
+    for (const auto& item : value["services"]) {
+        auto parsed = service_from_json(item);
+        if (!parsed) {
+            return std::unexpected{parsed.error()};
+        }
+        out.services.push_back(std::move(*parsed));
+    }
+    return out;
+}
+
+} // namespace cornellever::config
--- /dev/null
+++ b/src/cornellever/config/load.cpp
@@ -0,0 +1,316 @@
+#include "cornellever/config/load.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <set>
+
+#include "cornellever/config/model.hpp"
+#include "cornellever/core/asio.hpp"
+#include "cornellever/ini/reader.hpp"
+
+namespace cornellever::config {
+
+namespace {
+
+constexpr int max_connections = 10'000;
+constexpr std::int64_t max_staleness_limit_ms = 3'600'000;
+
+/// The kind and name of a section header such as `service stockbook`.
+struct section_name {
+    std::string kind;
+    std::string name;
+};
+
+section_name split_section(std::string_view section) {
+    const auto space = section.find(' ');
+    if (space == std::string_view::npos) {
+        return {std::string{section}, {}};
+    }
+    return {std::string{section.substr(0, space)}, std::string{section.substr(space + 1)}};
+}
+
+std::vector<std::string> split_list(std::string_view text) {
+    std::vector<std::string> items;
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        auto end = text.find(',', start);
+        if (end == std::string_view::npos) {
+            end = text.size();
+        }
+        auto item = text.substr(start, end - start);
+        const auto first = item.find_first_not_of(" \t");
+        const auto last = item.find_last_not_of(" \t");
+        if (first != std::string_view::npos) {
+            items.emplace_back(item.substr(first, last - first + 1));
+        }
+        start = end + 1;
+    }
+    return items;
+}
+
+bool parse_int(std::string_view text, std::int64_t& out) {
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return ec == std::errc{} && end == text.data() + text.size();
+}
+
+/// The parts of an instance name `service/database/instance`.
+struct instance_path {
+    std::string service;
+    std::string database;
+    std::string instance;
+};
+
+bool split_instance_path(std::string_view text, instance_path& out) {
+    const auto first = text.find('/');
+    const auto second = first == std::string_view::npos ? first : text.find('/', first + 1);
+    if (second == std::string_view::npos || text.find('/', second + 1) != std::string_view::npos) {
+        return false;
+    }
+    out = {std::string{text.substr(0, first)}, std::string{text.substr(first + 1, second - first - 1)},
+           std::string{text.substr(second + 1)}};
+    return !out.service.empty() && !out.database.empty() && !out.instance.empty();
+}
+
+/// Collects findings while the configuration is built.
+class builder {
+public:
+    explicit builder(load_result& out) : m_out{out} {}
+
+    void take(const ini::entry& item) {
+        const auto [kind, name] = split_section(item.section);
+        if (kind == "cluster" && name.empty()) {
+            take_cluster(item);
+        } else if (kind == "service" && !name.empty()) {
+            take_service(name, item);
+        } else if (kind == "instance" && !name.empty()) {
+            take_instance(name, item);
+        } else {
+            report(item.where, "unknown section [" + item.section +
+                                   "]: expected [cluster], [service NAME] or [instance SERVICE/DATABASE/NAME]");
+        }
+    }
+
+    void check_section(const ini::entry& header) {
+        const auto [kind, name] = split_section(header.section);
+        if (kind == "instance" && !name.empty()) {
+            instance_path path;
+            if (!split_instance_path(name, path)) {
+                report(header.where, "instance name '" + name + "' must be SERVICE/DATABASE/NAME");
+            }
+        }
+    }
+
+    void finish() {
+        check_zones();
+        check_services();
+        assemble();
+    }
+
+private:
+    struct pending_instance {
+        instance_path path;
+        instance value;
+        ini::origin where;
+        bool has_zone{false};
+        bool has_address{false};
+    };
+
+    struct pending_service {
+        service value;
+        ini::origin where;
+    };
+
+    void report(const ini::origin& where, std::string message) {
+        m_out.findings.push_back(ini::finding{where, std::move(message)});
+    }
+
+    bool first_time(const ini::entry& item) {
+        const auto key = item.section + "\n" + item.key;
+        const auto [found, inserted] = m_seen.emplace(key, item.where);
+        if (!inserted && found->second.file == item.where.file) {
+            report(item.where, "'" + item.key + "' is set twice in [" + item.section + "] (first at line " +
+                                   std::to_string(found->second.line) + ")");
+            return false;
+        }
+        found->second = item.where;
+        return true;
+    }
+
+    bool read_number(const ini::entry& item, std::int64_t low, std::int64_t high, std::int64_t& out) {
+        if (!parse_int(item.value, out) || out < low || out > high) {
+            report(item.where, "'" + item.key + "' must be a whole number from " + std::to_string(low) + " to " +
+                                   std::to_string(high) + ", not '" + item.value + "'");
+            return false;
+        }
+        return true;
+    }
+
+    void take_cluster(const ini::entry& item) {
+        if (!first_time(item)) {
+            return;
+        }
+        if (item.key == "name") {
+            m_out.config.name = item.value;
+        } else if (item.key == "zones") {
+            m_out.config.zones = split_list(item.value);
+            m_zones_where = item.where;
+        } else {
+            report(item.where, "unknown key '" + item.key + "' in [cluster]: expected name or zones");
+        }
+    }
+
+    void take_service(const std::string& name, const ini::entry& item) {
+        auto& pending = m_services[name];
+        if (pending.value.name.empty()) {
+            pending.value.name = name;
+            pending.where = item.where;
+        }
+        if (!first_time(item)) {
+            return;
+        }
+        std::int64_t number = 0;
+        if (item.key == "max_staleness_ms") {
+            if (read_number(item, 0, max_staleness_limit_ms, number)) {
+                pending.value.max_staleness = std::chrono::milliseconds{number};
+            }
+        } else {
+            report(item.where, "unknown key '" + item.key + "' in [service " + name + "]: expected max_staleness_ms");
+        }
+    }
+
+    void take_instance(const std::string& name, const ini::entry& item) {
+        instance_path path;
+        if (!split_instance_path(name, path)) {
+            return; // reported once for the header by check_section
+        }
+        auto& pending = m_instances[name];
+        if (pending.value.name.empty()) {
+            pending.path = path;
+            pending.value.name = path.instance;
+            pending.where = item.where;
+        }
+        if (!first_time(item)) {
+            return;
+        }
+        take_instance_key(pending, item);
+    }
+
+    void take_instance_key(pending_instance& pending, const ini::entry& item) {
+        std::int64_t number = 0;
+        if (item.key == "zone") {
+            pending.value.zone = item.value;
+            pending.has_zone = true;
+            pending.where = item.where;
+        } else if (item.key == "address") {
+            tcp::endpoint endpoint;
+            if (!parse_endpoint(item.value, endpoint)) {
+                report(item.where, "address '" + item.value + "' is not IP:PORT");
+            }
+            pending.value.address = item.value;
+            pending.has_address = true;
+        } else if (item.key == "connections") {
+            if (read_number(item, 1, max_connections, number)) {
+                pending.value.connections = static_cast<int>(number);
+            }
+        } else {
+            report(item.where, "unknown key '" + item.key + "' in [instance " + pending.path.service + "/" +
+                                   pending.path.database + "/" + pending.path.instance +
+                                   "]: expected zone, address or connections");
+        }
+    }
+
+    void check_zones() {
+        if (m_out.config.zones.empty()) {
+            report(m_zones_where, "no zones: [cluster] needs zones = NAME, NAME, ...");
+        }
+    }
+
+    void check_services() {
+        std::map<std::string, ini::origin> addresses;
+        for (auto& [name, pending] : m_instances) {
+            check_instance(name, pending, addresses);
+        }
+        for (const auto& [name, pending] : m_services) {
+            const bool used = std::ranges::any_of(m_instances, [&](const auto& item) {
+                return item.second.path.service == name;
+            });
+            if (!used) {
+                report(pending.where, "service '" + name + "' has no [instance " + name + "/DATABASE/NAME]");
+            }
+        }
+    }
+
+    void check_instance(const std::string& name, const pending_instance& pending,
+                        std::map<std::string, ini::origin>& addresses) {
+        if (!m_services.contains(pending.path.service)) {
+            report(pending.where, "instance '" + name + "' names service '" + pending.path.service +
+                                      "', which no [service] declares");
+        }
+        if (!pending.has_zone) {
+            report(pending.where, "instance '" + name + "' has no zone");
+        } else if (!m_out.config.zones.empty() && std::ranges::find(m_out.config.zones, pending.value.zone) ==
+                                                         m_out.config.zones.end()) {
+            report(pending.where, "instance '" + name + "' is in zone '" + pending.value.zone +
+                                      "', which [cluster] zones does not list");
+        }
+        if (!pending.has_address) {
+            report(pending.where, "instance '" + name + "' has no address");
+            return;
+        }
+        const auto [found, inserted] = addresses.emplace(pending.value.address, pending.where);
+        if (!inserted) {
+            report(pending.where, "instance '" + name + "' has address " + pending.value.address + ", already used at " +
+                                      found->second.file + ":" + std::to_string(found->second.line));
+        }
+    }
+
+    void assemble() {
+        for (auto& [name, pending] : m_services) {
+            m_out.config.services.push_back(pending.value);
+        }
+        for (const auto& [name, pending] : m_instances) {
+            auto found = std::ranges::find(m_out.config.services, pending.path.service, &service::name);
+            if (found == m_out.config.services.end()) {
+                continue;
+            }
+            auto db = std::ranges::find(found->databases, pending.path.database, &database::name);
+            if (db == found->databases.end()) {
+                found->databases.push_back(database{pending.path.database, {}});
+                db = std::prev(found->databases.end());
+            }
+            db->instances.push_back(pending.value);
+        }
+    }
+
+    load_result& m_out;
+    std::map<std::string, ini::origin> m_seen;
+    std::map<std::string, pending_service> m_services;
+    std::map<std::string, pending_instance> m_instances;
+    ini::origin m_zones_where{"(configuration)", 0};
+};
+
+} // namespace
+
+load_result from_document(const ini::document& document) {
+    load_result out;
+    out.findings = document.findings;
+    builder build{out};
+    for (const auto& header : document.sections) {
+        build.check_section(header);
+    }
+    for (const auto& item : document.entries) {
+        build.take(item);
+    }
+    build.finish();
+    std::ranges::stable_sort(out.findings, [](const auto& left, const auto& right) {
+        return std::tie(left.where.file, left.where.line) < std::tie(right.where.file, right.where.line);
+    });
+    return out;
+}
+
+load_result load_folder(const std::filesystem::path& folder) {
+    return from_document(ini::read_folder(folder));
+}
+
+} // namespace cornellever::config
--- /dev/null
+++ b/src/cornellever/core/asio.cpp
@@ -0,0 +1,29 @@
+#include "cornellever/core/asio.hpp"
+
+#include <charconv>
+#include <string>
+
+namespace cornellever {
+
+bool parse_endpoint(std::string_view text, tcp::endpoint& out) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    const auto host = text.substr(0, colon);
+    const auto port_text = text.substr(colon + 1);
+    unsigned port = 0;
+    const auto [end, ec] = std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
+    if (ec != std::errc{} || end != port_text.data() + port_text.size() || port == 0 || port > 65535) {
+        return false;
+    }
+    boost::system::error_code parse_error;
+    const auto address = asio::ip::make_address(std::string{host}, parse_error);
+    if (parse_error) {
+        return false;
+    }
+    out = tcp::endpoint{address, static_cast<unsigned short>(port)};
+    return true;
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/daemon.cpp
@@ -0,0 +1,33 @@
+#include "cornellever/core/daemon.hpp"
+
+#include <csignal>
+#include <cstdio>
+
+namespace cornellever {
+
+std::unique_ptr<asio::signal_set> on_stop_signal(asio::io_context& io, std::function<void()> on_stop) {
+    auto signals = std::make_unique<asio::signal_set>(io, SIGTERM, SIGINT);
+    signals->async_wait([stop = std::move(on_stop)](const boost::system::error_code& ec, int) {
+        if (!ec) {
+            stop();
+        }
+    });
+    return signals;
+}
+
+bool start_logging(std::string_view role, std::string_view level) {
+    severity minimum = severity::info;
+    if (!parse_severity(level, minimum)) {
+        std::fprintf(stderr, "--log-level must be debug, info, warning or error, not '%.*s'\n",
+                     static_cast<int>(level.size()), level.data());
+        return false;
+    }
+    init_logging(role, minimum);
+    return true;
+}
+
+std::string to_string(const tcp::endpoint& where) {
+    return where.address().to_string() + ":" + std::to_string(where.port());
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/error.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <expected>
+#include <string>
+#include <string_view>
+
+namespace cornellever {
+
+/// What went wrong, in terms a caller can act on. Each code states whether
+/// the request may have taken effect: see `ran_not`.
+enum class errc {
+    bad_request,
+    not_found,
+    conflict,
+    not_run,
+    outcome_unknown,
+    unavailable,
+    behind,
+    fenced,
+    busy,
+    internal,
+};
+
+/// An error with its code and a message for people.
+struct error {
+    errc code{errc::internal};
+    std::string message;
+};
+
+/// A value or the error that prevented it.
+template <typename T>
+using result = std::expected<T, error>;
+
+/// Shorthand for returning an error from a function that yields `result`.
+[[nodiscard]] inline std::unexpected<error> fail(errc code, std::string message) {
+    return std::unexpected<error>{error{code, std::move(message)}};
+}
+
+/// The stable lower-case name of a code, as it appears on the wire and in logs.
+[[nodiscard]] std::string_view to_string(errc code) noexcept;
+
+/// The code named by `name`; `errc::internal` for an unknown name.
+[[nodiscard]] errc errc_from_string(std::string_view name) noexcept;
+
+/// True when an error with this code guarantees the request never took effect.
+/// `outcome_unknown` and `internal` do not; every refusal before execution does.
+[[nodiscard]] bool ran_not(errc code) noexcept;
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/event.cpp
@@ -0,0 +1,49 @@
+#include "cornellever/core/event.hpp"
+
+#include <array>
+
+namespace cornellever {
+
+namespace {
+
+constexpr std::array catalogue{
+    event_info{event::process_started, "process.started", severity::info},
+    event_info{event::process_stopping, "process.stopping", severity::info},
+    event_info{event::process_stopped, "process.stopped", severity::info},
+    event_info{event::listen_failed, "process.listen_failed", severity::error},
+    event_info{event::rpc_bad_request, "rpc.bad_request", severity::warning},
+    event_info{event::config_loaded, "config.loaded", severity::info},
+    event_info{event::config_refused, "config.refused", severity::warning},
+    event_info{event::config_fetch_failed, "config.fetch_failed", severity::warning},
+    event_info{event::config_applied, "config.applied", severity::info},
+    event_info{event::config_apply_conflict, "config.apply_conflict", severity::warning},
+    event_info{event::instance_up, "instance.up", severity::info},
+    event_info{event::instance_down, "instance.down", severity::warning},
+    event_info{event::primary_changed, "instance.primary_changed", severity::info},
+    event_info{event::pool_exhausted, "pool.exhausted", severity::warning},
+    event_info{event::connection_broken, "pool.connection_broken", severity::warning},
+    event_info{event::transaction_abandoned, "transaction.abandoned", severity::warning},
+    event_info{event::replica_fallback, "route.replica_fallback", severity::debug},
+    event_info{event::backend_write, "backend.write", severity::debug},
+    event_info{event::backend_shipped, "backend.shipped", severity::debug},
+    event_info{event::backend_applied, "backend.applied", severity::debug},
+    event_info{event::backend_refused, "backend.refused", severity::info},
+    event_info{event::platform_fault_set, "platform.fault_set", severity::warning},
+    event_info{event::platform_row_written, "platform.row_written", severity::debug},
+    event_info{event::platform_snapshot_failed, "platform.snapshot_failed", severity::error},
+};
+
+constexpr event_info unknown{event::process_started, "unknown", severity::error};
+
+} // namespace
+
+const event_info& describe(event id) noexcept {
+    for (const auto& info : catalogue) {
+        if (info.id == id) {
+            return info;
+        }
+    }
+    return unknown;
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/event.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace cornellever {
+
+/// Severity of a logged event.
+enum class severity { debug, info, warning, error };
+
+/// Every event a process can log. The number is stable and is the key into
+/// the catalogue in docs/EVENTS.md; add new events at the end of a block.
+enum class event : std::uint16_t {
+    process_started = 1001,
+    process_stopping = 1002,
+    process_stopped = 1003,
+    listen_failed = 1004,
+    rpc_bad_request = 1010,
+    config_loaded = 1101,
+    config_refused = 1102,
+    config_fetch_failed = 1103,
+    config_applied = 1104,
+    config_apply_conflict = 1105,
+    instance_up = 1201,
+    instance_down = 1202,
+    primary_changed = 1203,
+    pool_exhausted = 1301,
+    connection_broken = 1302,
+    transaction_abandoned = 1303,
+    replica_fallback = 1304,
+    backend_write = 1401,
+    backend_shipped = 1402,
+    backend_applied = 1403,
+    backend_refused = 1404,
+    platform_fault_set = 1501,
+    platform_row_written = 1502,
+    platform_snapshot_failed = 1503,
+};
+
+/// Catalogue entry: the event's dotted name and severity.
+struct event_info {
+    event id;
+    std::string_view name;
+    severity level;
+};
+
+/// The catalogue entry of `id`.
+[[nodiscard]] const event_info& describe(event id) noexcept;
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace cornellever {
+
+enum class errc;
+struct error;
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace cornellever::metrics {
+
+class latency;
+
+} // namespace cornellever::metrics
--- /dev/null
+++ b/src/cornellever/platform/main.cpp
@@ -0,0 +1,48 @@
+#include <tclap/CmdLine.h>
+
+#include "cornellever/core/daemon.hpp"
+#include "cornellever/core/role.hpp"
+#include "cornellever/platform/service.hpp"
+
+namespace cornellever {
+
+int platform_main(std::span<char*> args) {
+    TCLAP::CmdLine cmd{"Stand-in for the platform: table service, object store, VM list", ' ', "0.1"};
+    TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT to listen on", true, "", "address", cmd};
+    TCLAP::ValueArg<int> lag{"", "vm-list-lag-ms", "how late the VM list shows changes", false, 2000, "ms", cmd};
+    TCLAP::ValueArg<std::string> snapshot{"", "snapshot", "file that keeps rows across restarts", false, "",
+                                          "path", cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level",
+                                       cmd};
+    cmd.parse(static_cast<int>(args.size()), args.data());
+    if (!start_logging("platform", level.getValue())) {
+        return 2;
+    }
+    tcp::endpoint where;
+    if (!parse_endpoint(listen.getValue(), where)) {
+        std::fprintf(stderr, "--listen must be IP:PORT\n");
+        return 2;
+    }
+    asio::io_context io;
+    platform::service stand_in{io.get_executor(),
+                               platform::service_settings{std::chrono::milliseconds{lag.getValue()},
+                                                          snapshot.getValue()}};
+    rpc::server rpc{io.get_executor()};
+    stand_in.bind(rpc);
+    auto bound = rpc.listen(where);
+    if (!bound) {
+        log_event(event::listen_failed, "reason=\"" + bound.error().message + "\"");
+        return 1;
+    }
+    rpc.start();
+    log_event(event::process_started, "role=platform listen=" + to_string(*bound));
+    auto signals = on_stop_signal(io, [&] {
+        log_event(event::process_stopping, "role=platform");
+        io.stop();
+    });
+    io.run();
+    log_event(event::process_stopped, "role=platform");
+    return 0;
+}
+
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/platform/service.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <filesystem>
+#include <map>
+#include <string>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/platform/faults.hpp"
+#include "cornellever/platform/table.hpp"
+#include "cornellever/platform/vm_list.hpp"
+#include "cornellever/rpc/server.hpp"
+
+namespace cornellever::platform {
+
+/// Settings of the platform stand-in.
+struct service_settings {
+    std::chrono::milliseconds vm_list_lag{2000};
+    std::filesystem::path snapshot;
+};
+
+/// The platform stand-in's methods over one RPC server: `table.*`,
+/// `object.*`, `vms.*`, `fault.set` and `dump`. Single-threaded.
+class service {
+public:
+    service(asio::any_io_executor executor, service_settings settings);
+
+    /// Registers every method on `rpc`.
+    void bind(rpc::server& rpc);
+
+private:
+    using params = const Json::Value&;
+
+    asio::awaitable<result<Json::Value>> guarded(params in, rpc::connection& conn, bool writes,
+                                                 result<Json::Value> (service::*call)(params));
+    result<Json::Value> table_get(params in);
+    result<Json::Value> table_put(params in);
+    result<Json::Value> table_transact(params in);
+    result<Json::Value> table_list(params in);
+    result<Json::Value> object_put(params in);
+    result<Json::Value> object_get(params in);
+    result<Json::Value> object_list(params in);
+    result<Json::Value> vms_set(params in);
+    result<Json::Value> vms_list(params in);
+    result<Json::Value> dump(params in);
+    void save_snapshot();
+    void load_snapshot();
+
+    asio::any_io_executor m_executor;
+    service_settings m_settings;
+    table m_table;
+    std::map<std::string, std::string, std::less<>> m_objects;
+    vm_list m_vms;
+    faults m_faults;
+};
+
+} // namespace cornellever::platform
--- /dev/null
+++ b/src/cornellever/platform/table.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/core/error.hpp"
+
+namespace cornellever::platform {
+
+/// A versioned row of the transactional table. Versions start at 1 and rise
+/// by one with each write of the row; 0 means "no such row".
+struct row {
+    std::uint64_t version{0};
+    Json::Value value;
+};
+
+/// A precondition of a transaction: `key` is at `version` (0: absent).
+struct check {
+    std::string key;
+    std::uint64_t version{0};
+};
+
+/// A write of a transaction.
+struct put {
+    std::string key;
+    Json::Value value;
+};
+
+/// The platform's transactional table service, in memory: rows with
+/// versions, compare-and-set and small multi-row transactions.
+class table {
+public:
+    /// The row at `key`; `not_found` when there is none.
+    [[nodiscard]] result<row> get(std::string_view key) const;
+
+    /// Writes `value` when the row is at `expected` (0: must be absent).
+    /// Errors: `conflict`, naming the version the row is at.
+    [[nodiscard]] result<std::uint64_t> compare_and_set(std::string_view key, std::uint64_t expected,
+                                                        const Json::Value& value);
+
+    /// Applies all `writes` when every check holds, else none.
+    /// Errors: `conflict` naming the first check that failed.
+    [[nodiscard]] result<std::vector<std::uint64_t>> transact(std::span<const check> checks,
+                                                              std::span<const put> writes);
+
+    /// Keys starting with `prefix`, with their versions, in key order.
+    [[nodiscard]] std::vector<std::pair<std::string, std::uint64_t>> list(std::string_view prefix) const;
+
+    /// All rows, for snapshots and state dumps.
+    [[nodiscard]] const std::map<std::string, row, std::less<>>& rows() const noexcept { return m_rows; }
+
+    /// Replaces all rows, from a snapshot.
+    void restore(std::map<std::string, row, std::less<>> rows) { m_rows = std::move(rows); }
+
+private:
+    [[nodiscard]] std::uint64_t version_of(std::string_view key) const;
+
+    std::map<std::string, row, std::less<>> m_rows;
+};
+
+} // namespace cornellever::platform
--- /dev/null
+++ b/src/cornellever/platform/vm_list.cpp
@@ -0,0 +1,46 @@
+#include "cornellever/platform/vm_list.hpp"
+
+namespace cornellever::platform {
+
+void vm_list::set(std::string address, vm_state state, clock::time_point now) {
+    m_changes.push_back(change{now, std::move(address), state});
+}
+
+std::map<std::string, vm_state> vm_list::view(clock::time_point now) const {
+    std::map<std::string, vm_state> out;
+    for (const auto& item : m_changes) {
+        if (item.at + m_lag > now) {
+            break;
+        }
+        if (item.state == vm_state::gone) {
+            out.erase(item.address);
+        } else {
+            out[item.address] = item.state;
+        }
+    }
+    return out;
+}
+
+std::string_view to_string(vm_state state) noexcept {
+    switch (state) {
+    case vm_state::live:
+        return "live";
+    case vm_state::leaving:
+        return "leaving";
+    case vm_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+bool parse_vm_state(std::string_view text, vm_state& out) noexcept {
+    for (const auto state : {vm_state::live, vm_state::leaving, vm_state::gone}) {
+        if (to_string(state) == text) {
+            out = state;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace cornellever::platform
--- /dev/null
+++ b/src/cornellever/proxy/topology.cpp
@@ -0,0 +1,99 @@
+#include "cornellever/proxy/topology.hpp"
+
+#include <algorithm>
+
+#include "cornellever/core/daemon.hpp"
+
+namespace cornellever::proxy {
+
+std::string database_key(std::string_view service, std::string_view database) {
+    return std::string{service} + "/" + std::string{database};
+}
+
+void topology::reset(const config::cluster& config) {
+    std::map<std::string, instance_view, std::less<>> next;
+    for (const auto& svc : config.services) {
+        for (const auto& db : svc.databases) {
+            for (const auto& inst : db.instances) {
+                instance_view view;
+                view.key = database_key(svc.name, db.name) + "/" + inst.name;
+                view.service = svc.name;
+                view.database = db.name;
+                view.name = inst.name;
+                view.zone = inst.zone;
+                view.connections = inst.connections;
+                (void)parse_endpoint(inst.address, view.address);
+                const auto known = m_instances.find(view.key);
+                if (known != m_instances.end() && known->second.address == view.address) {
+                    view.primary = known->second.primary;
+                    view.term = known->second.term;
+                    view.position = known->second.position;
+                    view.staleness_ms = known->second.staleness_ms;
+                    view.last_heard = known->second.last_heard;
+                }
+                next.emplace(view.key, std::move(view));
+            }
+        }
+    }
+    m_instances = std::move(next);
+}
+
+void topology::record(const heartbeat& beat, std::chrono::steady_clock::time_point now) {
+    const auto found = m_instances.find(beat.key);
+    if (found == m_instances.end() || !beat.answered) {
+        return;
+    }
+    auto& view = found->second;
+    view.primary = beat.primary;
+    view.term = beat.term;
+    view.position = beat.position;
+    view.staleness_ms = beat.staleness_ms;
+    view.last_heard = now;
+}
+
+const instance_view* topology::primary(std::string_view service, std::string_view database,
+                                       std::chrono::steady_clock::time_point now) const {
+    const instance_view* best = nullptr;
+    for (const auto& [key, view] : m_instances) {
+        if (view.service != service || view.database != database || !view.primary || !view.healthy(now)) {
+            continue;
+        }
+        if (best == nullptr || view.term > best->term) {
+            best = &view;
+        }
+    }
+    return best;
+}
+
+std::vector<const instance_view*> topology::replicas(std::string_view service, std::string_view database,
+                                                     std::uint64_t min_position, std::string_view zone,
+                                                     std::chrono::steady_clock::time_point now) const {
+    std::vector<const instance_view*> out;
+    for (const auto& [key, view] : m_instances) {
+        if (view.service == service && view.database == database && !view.primary && view.healthy(now) &&
+            view.position >= min_position) {
+            out.push_back(&view);
+        }
+    }
+    std::ranges::stable_sort(out, [&](const auto* left, const auto* right) {
+        return (left->zone == zone) > (right->zone == zone);
+    });
+    return out;
+}
+
+Json::Value topology::describe(std::chrono::steady_clock::time_point now) const {
+    Json::Value out{Json::objectValue};
+    for (const auto& [key, view] : m_instances) {
+        auto& item = out[key];
+        item["address"] = to_string(view.address);
+        item["zone"] = view.zone;
+        item["healthy"] = view.healthy(now);
+        item["role"] = view.primary ? "primary" : "replica";
+        item["term"] = static_cast<Json::UInt64>(view.term);
+        item["position"] = static_cast<Json::UInt64>(view.position);
+        item["staleness_ms"] = static_cast<Json::Int64>(view.staleness_ms);
+    }
+    return out;
+}
+
+} // namespace cornellever::proxy
--- /dev/null
+++ b/src/cornellever/proxy/topology.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/config/model.hpp"
+#include "cornellever/core/asio.hpp"
+
+namespace cornellever::proxy {
+
+/// How long an instance counts as healthy after its last good heartbeat.
+inline constexpr auto health_timeout = std::chrono::milliseconds{1000};
+
+/// What one heartbeat of an instance said.
+struct heartbeat {
+    std::string key;
+    bool answered{false};
+    bool primary{false};
+    std::uint64_t term{0};
+    std::uint64_t position{0};
+    std::int64_t staleness_ms{0};
+};
+
+/// What this proxy knows of one backend instance.
+struct instance_view {
+    std::string key;
+    std::string service;
+    std::string database;
+    std::string name;
+    std::string zone;
+    tcp::endpoint address;
+    int connections{0};
+    bool primary{false};
+    std::uint64_t term{0};
+    std::uint64_t position{0};
+    std::int64_t staleness_ms{0};
+    std::chrono::steady_clock::time_point last_heard{};
+
+    [[nodiscard]] bool healthy(std::chrono::steady_clock::time_point now) const {
+        return last_heard.time_since_epoch().count() != 0 && now - last_heard < health_timeout;
+    }
+};
+
+/// `service/database`, the key of a database in tokens and logs.
+[[nodiscard]] std::string database_key(std::string_view service, std::string_view database);
+
+/// The instances of the configuration, as heartbeats report them.
+class topology {
+public:
+    /// Takes the instances of `config`, keeping what is known of unchanged ones.
+    void reset(const config::cluster& config);
+
+    /// Records a heartbeat; unknown keys are ignored.
+    void record(const heartbeat& beat, std::chrono::steady_clock::time_point now);
+
+    /// The healthy primary of a database with the highest term, or null.
+    [[nodiscard]] const instance_view* primary(std::string_view service, std::string_view database,
+                                               std::chrono::steady_clock::time_point now) const;
+
+    /// Healthy replicas that heartbeats show at or past `min_position`,
+    /// those in `zone` first.
+    [[nodiscard]] std::vector<const instance_view*> replicas(std::string_view service, std::string_view database,
+                                                             std::uint64_t min_position, std::string_view zone,
+                                                             std::chrono::steady_clock::time_point now) const;
+
+    /// Every instance, for the state dump.
+    [[nodiscard]] Json::Value describe(std::chrono::steady_clock::time_point now) const;
+
+    /// Every instance by key.
+    [[nodiscard]] const std::map<std::string, instance_view, std::less<>>& instances() const noexcept {
+        return m_instances;
+    }
+
+private:
+    std::map<std::string, instance_view, std::less<>> m_instances;
+};
+
+} // namespace cornellever::proxy
--- /dev/null
+++ b/src/cornellever/rpc/channel.cpp
@@ -0,0 +1,96 @@
+#include "cornellever/rpc/channel.hpp"
+
+#include <boost/beast/http.hpp>
+
+#include "cornellever/rpc/envelope.hpp"
+
+namespace cornellever::rpc {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
+
+std::string describe(const tcp::endpoint& peer) {
+    return peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+} // namespace
+
+channel::channel(asio::any_io_executor executor, tcp::endpoint peer) : m_stream{executor}, m_peer{peer} {}
+
+void channel::close() {
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    m_stream.close();
+    m_connected = false;
+}
+
+asio::awaitable<result<void>> channel::connect(std::chrono::milliseconds deadline) {
+    boost::system::error_code ec;
+    m_stream.expires_after(deadline);
+    co_await m_stream.async_connect(m_peer, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        m_stream.close();
+        co_return fail(errc::unavailable, "cannot connect to " + describe(m_peer) + ": " + ec.message());
+    }
+    m_stream.socket().set_option(tcp::no_delay{true}, ec);
+    m_stream.socket().set_option(asio::socket_base::keep_alive{true}, ec);
+    m_connected = true;
+    co_return result<void>{};
+}
+
+asio::awaitable<result<Json::Value>> channel::call(std::string_view method, const Json::Value& params,
+                                                   std::chrono::milliseconds deadline) {
+    if (m_broken) {
+        co_return fail(errc::unavailable, "channel to " + describe(m_peer) + " was closed after a failed call");
+    }
+    if (!m_connected) {
+        auto connected = co_await connect(deadline);
+        if (!connected) {
+            co_return std::unexpected{connected.error()};
+        }
+    }
+    const auto id = m_next_id++;
+    http::request<http::string_body> request{http::verb::post, "/", 11};
+    request.set(http::field::host, describe(m_peer));
+    request.set(http::field::content_type, "application/json");
+    request.keep_alive(true);
+    request.body() = encode_request(id, method, params);
+    request.prepare_payload();
+
+    boost::system::error_code ec;
+    m_stream.expires_after(deadline);
+    co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(max_answer_bytes);
+        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec) {
+            m_stream.expires_never();
+            co_return decode_response(parser.get().body(), id);
+        }
+    }
+    // The request may have reached the peer and run: a timeout or a cut
+    // connection after sending cannot tell "not run" from "ran".
+    m_broken = true;
+    close();
+    co_return fail(errc::outcome_unknown, std::string{method} + " to " + describe(m_peer) +
+                                              " got no whole answer: " + ec.message());
+}
+
+result<Json::Value> call_blocking(const tcp::endpoint& peer, std::string_view method, const Json::Value& params,
+                                  std::chrono::milliseconds deadline) {
+    asio::io_context io;
+    channel link{io.get_executor(), peer};
+    result<Json::Value> answer = fail(errc::internal, "not called");
+    asio::co_spawn(
+        io, [&]() -> asio::awaitable<void> { answer = co_await link.call(method, params, deadline); },
+        asio::detached);
+    io.run();
+    return answer;
+}
+
+} // namespace cornellever::rpc
--- /dev/null
+++ b/src/cornellever/rpc/envelope.cpp
@@ -0,0 +1,103 @@
+#include "cornellever/rpc/envelope.hpp"
+
+#include <memory>
+
+#include <jsoncpp/json/reader.h>
+#include <jsoncpp/json/writer.h>
+
+namespace cornellever::rpc {
+
+namespace {
+
+constexpr int parse_error = -32700;
+constexpr int invalid_request = -32600;
+
+Json::Value error_object(const error& failure) {
+    Json::Value out;
+    out["code"] = failure.code == errc::bad_request ? invalid_request : application_error;
+    out["message"] = failure.message;
+    out["data"]["kind"] = std::string{to_string(failure.code)};
+    out["data"]["ran"] = ran_not(failure.code) ? "no" : "unknown";
+    return out;
+}
+
+error error_from_object(const Json::Value& object) {
+    const auto& data = object["data"];
+    if (data.isObject() && data["kind"].isString()) {
+        return error{errc_from_string(data["kind"].asString()), object["message"].asString()};
+    }
+    const auto code = object["code"].asInt();
+    // Standard JSON-RPC refusals (parse error, unknown method, bad params) happen before any handler runs.
+    const bool refused = code <= invalid_request && code >= parse_error;
+    return error{refused ? errc::bad_request : errc::outcome_unknown, object["message"].asString()};
+}
+
+} // namespace
+
+std::string to_text(const Json::Value& value) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+result<Json::Value> parse_json(std::string_view text) {
+    Json::CharReaderBuilder builder;
+    builder["collectComments"] = false;
+    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
+    Json::Value value;
+    std::string problem;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problem)) {
+        return fail(errc::bad_request, "not JSON: " + problem);
+    }
+    return value;
+}
+
+result<request> decode_request(std::string_view body) {
+    auto parsed = parse_json(body);
+    if (!parsed) {
+        return std::unexpected{parsed.error()};
+    }
+    const auto& value = *parsed;
+    if (!value.isObject() || value["jsonrpc"] != "2.0" || !value["method"].isString()) {
+        return fail(errc::bad_request, "not a JSON-RPC 2.0 request");
+    }
+    const auto& params = value["params"];
+    if (!params.isNull() && !params.isObject()) {
+        return fail(errc::bad_request, "params must be an object");
+    }
+    return request{value["id"], value["method"].asString(), params.isNull() ? Json::Value{Json::objectValue} : params};
+}
+
+std::string encode_request(std::uint64_t id, std::string_view method, const Json::Value& params) {
+    Json::Value out;
+    out["jsonrpc"] = "2.0";
+    out["id"] = static_cast<Json::UInt64>(id);
+    out["method"] = std::string{method};
+    out["params"] = params;
+    return to_text(out);
+}
+
+std::string encode_response(const Json::Value& id, const result<Json::Value>& answer) {
+    Json::Value out;
+    out["jsonrpc"] = "2.0";
+    out["id"] = id;
+    if (answer) {
+        out["result"] = *answer;
+    } else {
+        out["error"] = error_object(answer.error());
+    }
+    return to_text(out);
+}
+
+result<Json::Value> decode_response(std::string_view body, std::uint64_t id) {
+    auto parsed = parse_json(body);
+    if (!parsed || !parsed->isObject() || !(*parsed)["id"].isIntegral() || (*parsed)["id"].asUInt64() != id) {
+        return fail(errc::outcome_unknown, "the answer is not the answer to this request");
+    }
+    if (parsed->isMember("error")) {
+        return std::unexpected{error_from_object((*parsed)["error"])};
+    }
+    return (*parsed)["result"];
+}
+
+} // namespace cornellever::rpc
--- /dev/null
+++ b/src/cornellever/rpc/server.cpp
@@ -0,0 +1,134 @@
+#include "cornellever/rpc/server.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "cornellever/core/log.hpp"
+#include "cornellever/rpc/envelope.hpp"
+
+namespace cornellever::rpc {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::size_t max_body_bytes = 4 * 1024 * 1024;
+
+/// Holds a counter up while a request is being handled.
+class counted {
+public:
+    explicit counted(std::size_t& counter) : m_counter{counter} { ++m_counter; }
+    ~counted() { --m_counter; }
+    counted(const counted&) = delete;
+    counted& operator=(const counted&) = delete;
+
+private:
+    std::size_t& m_counter;
+};
+
+} // namespace
+
+server::server(asio::any_io_executor executor) : m_executor{executor}, m_acceptor{executor} {}
+
+void server::on(std::string method, handler call) {
+    m_handlers[std::move(method)] = std::move(call);
+}
+
+result<tcp::endpoint> server::listen(const tcp::endpoint& where) {
+    boost::system::error_code ec;
+    m_acceptor.open(where.protocol(), ec);
+    if (!ec) {
+        m_acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
+    }
+    if (!ec) {
+        m_acceptor.bind(where, ec);
+    }
+    if (!ec) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return fail(errc::unavailable, "cannot listen on " + where.address().to_string() + ":" +
+                                           std::to_string(where.port()) + ": " + ec.message());
+    }
+    return m_acceptor.local_endpoint();
+}
+
+void server::start() {
+    asio::co_spawn(m_executor, accept_loop(), asio::detached);
+}
+
+void server::stop_accepting() {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> server::accept_loop() {
+    while (m_acceptor.is_open()) {
+        boost::system::error_code ec;
+        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            if (!m_acceptor.is_open()) {
+                co_return;
+            }
+            continue;
+        }
+        socket.set_option(tcp::no_delay{true}, ec);
+        asio::co_spawn(m_executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> server::serve(tcp::socket socket) {
+    counted open{m_open};
+    connection conn;
+    conn.id = m_next_connection++;
+    boost::system::error_code ec;
+    conn.peer = socket.remote_endpoint(ec);
+    beast::tcp_stream stream{std::move(socket)};
+    beast::flat_buffer buffer;
+    for (;;) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_return;
+        }
+        auto request = parser.release();
+        auto body = co_await dispatch(request.body(), conn);
+        if (conn.go_silent) {
+            // Hold the connection open and unread until the peer gives up.
+            asio::steady_timer forever{m_executor, std::chrono::hours{24}};
+            co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            co_return;
+        }
+        if (conn.drop_answer) {
+            co_return;
+        }
+        http::response<http::string_body> response{http::status::ok, request.version()};
+        response.set(http::field::content_type, "application/json");
+        response.keep_alive(request.keep_alive());
+        response.body() = std::move(body);
+        response.prepare_payload();
+        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec || !request.keep_alive()) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<std::string> server::dispatch(std::string_view body, connection& conn) {
+    counted busy{m_in_flight};
+    auto decoded = decode_request(body);
+    if (!decoded) {
+        log_event(event::rpc_bad_request, "reason=\"" + decoded.error().message + "\"");
+        co_return encode_response(Json::Value{}, std::unexpected{decoded.error()});
+    }
+    const auto found = m_handlers.find(decoded->method);
+    if (found == m_handlers.end()) {
+        co_return encode_response(decoded->id, fail(errc::bad_request, "unknown method '" + decoded->method + "'"));
+    }
+    auto answer = co_await found->second(decoded->params, conn);
+    co_return encode_response(decoded->id, answer);
+}
+
+} // namespace cornellever::rpc
