--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -77,17 +77,17 @@
             return fail(errc::internal, script.string() + ": " + ran.error().message);
         }
     }
-    return std::unique_ptr<instance>{new instance{executor, std::move(settings), std::move(*apply)}};
+    return std::unique_ptr<instance>{new instance{std::move(executor), std::move(settings), std::move(*apply)}};
 }
 
 instance::instance(asio::any_io_executor executor, instance_settings settings, sqlite_connection apply)
-    : m_executor{executor},
-      m_settings{std::move(settings)},
-      m_apply{std::move(apply)},
-      m_role{m_settings.starts_as},
-      m_term{m_settings.term},
-      m_fresh_as_of{std::chrono::steady_clock::now()},
-      m_lag{m_settings.lag} {}
+    : m_executor{std::move(executor)}
+    , m_settings{std::move(settings)}
+    , m_apply{std::move(apply)}
+    , m_role{m_settings.starts_as}
+    , m_term{m_settings.term}
+    , m_fresh_as_of{std::chrono::steady_clock::now()}
+    , m_lag{m_settings.lag} {}
 
 std::uint64_t instance::position() const noexcept {
     return m_role == role::primary ? m_log.last() : m_applied;
@@ -149,8 +149,8 @@
                                       ", the session needs " + std::to_string(needed));
     }
     if (in.isMember("max_staleness_ms") && staleness().count() > in["max_staleness_ms"].asInt64()) {
-        return fail(errc::behind, "replica " + m_settings.name + " is " + std::to_string(staleness().count()) +
-                                      " ms stale");
+        return fail(errc::behind,
+                    "replica " + m_settings.name + " is " + std::to_string(staleness().count()) + " ms stale");
     }
     return {};
 }
@@ -179,7 +179,8 @@
     }
     auto admitted = *kind == access::write ? admit_write(in) : admit_read(in);
     if (!admitted) {
-        log_event(event::backend_refused, "instance=" + m_settings.name + " reason=\"" + admitted.error().message + "\"");
+        log_event(event::backend_refused,
+                  "instance=" + m_settings.name + " reason=\"" + admitted.error().message + "\"");
         co_return std::unexpected{admitted.error()};
     }
     const auto& bound = in.isMember("params") ? in["params"] : Json::Value{Json::arrayValue};
@@ -237,7 +238,8 @@
     session.in_transaction = false;
     if (!committed) {
         session.pending.clear();
-        co_return fail(errc::not_run, "commit failed and the transaction was rolled back: " + committed.error().message);
+        co_return fail(errc::not_run,
+                       "commit failed and the transaction was rolled back: " + committed.error().message);
     }
     if (!session.pending.empty()) {
         m_log.append(m_term, std::move(session.pending), std::chrono::steady_clock::now());
@@ -304,8 +306,8 @@
         }
         auto applied = apply(entry);
         if (!applied) {
-            log_event(event::backend_refused, "instance=" + m_settings.name + " position=" +
-                                                  std::to_string(entry.position) + " reason=\"" +
+            log_event(event::backend_refused, "instance=" + m_settings.name +
+                                                  " position=" + std::to_string(entry.position) + " reason=\"" +
                                                   applied.error().message + "\"");
             break;
         }
@@ -341,17 +343,18 @@
         Json::Value params;
         params["term"] = static_cast<Json::UInt64>(m_term);
         params["entries"] = entries;
-        params["behind_ms"] = next == nullptr
-                                  ? Json::Int64{0}
-                                  : static_cast<Json::Int64>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                                 now - next->committed_at)
-                                                                 .count());
+        params["behind_ms"] =
+            next == nullptr
+                ? Json::Int64{0}
+                : static_cast<Json::Int64>(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(now - next->committed_at).count());
         last_sent = now;
         auto answer = co_await link->call("replicate", params, ship_deadline);
         if (answer) {
             acked = (*answer)["applied"].asUInt64();
             if (!entries.empty()) {
-                log_event(event::backend_shipped, "to=" + cornellever::to_string(replica) + " through=" + std::to_string(acked));
+                log_event(event::backend_shipped,
+                          "to=" + cornellever::to_string(replica) + " through=" + std::to_string(acked));
             }
             continue;
         }
--- a/src/cornellever/backend/log.hpp
+++ b/src/cornellever/backend/log.hpp
@@ -42,7 +42,10 @@
     [[nodiscard]] std::uint64_t last() const noexcept { return m_last; }
 
     /// Continues numbering from `position`, as a replica promoted to primary does.
-    void reset(std::uint64_t position) { m_entries.clear(); m_last = position; }
+    void reset(std::uint64_t position) {
+        m_entries.clear();
+        m_last = position;
+    }
 
     /// Entries held.
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
--- a/src/cornellever/backend/main.cpp
+++ b/src/cornellever/backend/main.cpp
@@ -33,8 +33,7 @@
     TCLAP::ValueArg<std::string> folder{"", "data", "folder for the database file", true, "", "path", cmd};
     TCLAP::ValueArg<int> lag{"", "lag-ms", "how long shipped writes are held back", false, 0, "ms", cmd};
     TCLAP::ValueArg<int> delay{"", "connect-delay-ms", "cost of a new connection", false, 0, "ms", cmd};
-    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level",
-                                       cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
     if (!start_logging("backend", level.getValue())) {
         return 2;
@@ -68,8 +67,8 @@
     }
     rpc.start();
     (*created)->start();
-    log_event(event::process_started, "role=backend name=" + settings.name + " listen=" + to_string(*bound) +
-                                          " as=" + role.getValue());
+    log_event(event::process_started,
+              "role=backend name=" + settings.name + " listen=" + to_string(*bound) + " as=" + role.getValue());
     auto signals = on_stop_signal(io, [&] { io.stop(); });
     io.run();
     log_event(event::process_stopped, "role=backend name=" + settings.name);
--- a/src/cornellever/backend/sqlite.cpp
+++ b/src/cornellever/backend/sqlite.cpp
@@ -107,7 +107,8 @@
     if (prepared != SQLITE_OK || raw == nullptr) {
         return fail(classify_failure(prepared), sqlite3_errmsg(m_handle.get()));
     }
-    if (tail != nullptr && tail < sql.data() + sql.size() && !only_space(std::string{tail, sql.data() + sql.size()}.c_str())) {
+    if (tail != nullptr && tail < sql.data() + sql.size() &&
+        !only_space(std::string{tail, sql.data() + sql.size()}.c_str())) {
         return fail(errc::bad_request, "one statement per request");
     }
     for (Json::ArrayIndex index = 0; index < params.size(); ++index) {
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -42,12 +42,13 @@
         const auto& item = exchanges[index];
         const auto& step = (*steps)[index];
         const auto& served = item.answer["served_by"];
-        std::printf("%-2zu proxy %c  %-8s %-44s -> %s%s%s\n", index + 1, static_cast<char>('A' + item.proxy),
-                    item.method.c_str(), step.say.c_str(), item.ok ? "ok" : item.answer["error"].asCString(),
-                    served.isObject() ? (" by " + served["role"].asString() + " " + served["instance"].asString()).c_str() : "",
-                    item.answer["rows"].isArray() && !item.answer["rows"].empty()
-                        ? ("  rows " + rpc::to_text(item.answer["rows"])).c_str()
-                        : "");
+        std::printf(
+            "%-2zu proxy %c  %-8s %-44s -> %s%s%s\n", index + 1, static_cast<char>('A' + item.proxy),
+            item.method.c_str(), step.say.c_str(), item.ok ? "ok" : item.answer["error"].asCString(),
+            served.isObject() ? (" by " + served["role"].asString() + " " + served["instance"].asString()).c_str() : "",
+            item.answer["rows"].isArray() && !item.answer["rows"].empty()
+                ? ("  rows " + rpc::to_text(item.answer["rows"])).c_str()
+                : "");
         failures += item.ok ? 0 : 1;
         if (out) {
             out << rpc::to_text(bench::normalised(item)) << "\n";
@@ -58,8 +59,8 @@
 }
 
 void print_figures(const char* label, const bench::load_figures& figures) {
-    std::printf("%-22s %8zu ok %4zu failed  %9.0f statements/s  p50 %7.0f us  p99 %7.0f us\n", label,
-                figures.completed, figures.failed, figures.per_second(), figures.latency.quantile_us(0.5),
+    std::printf("%-22s %8zu ok %4zu failed  %9.0f statements/s  p50 %7.0f us  p99 %7.0f us\n", label, figures.completed,
+                figures.failed, figures.per_second(), figures.latency.quantile_us(0.5),
                 figures.latency.quantile_us(0.99));
 }
 
@@ -91,14 +92,14 @@
     TCLAP::UnlabeledValueArg<std::string> mode{"mode", "session or load", true, "", "mode", cmd};
     TCLAP::MultiArg<std::string> proxies{"", "proxy", "IP:PORT of a proxy (repeat for more)", false, "address", cmd};
     TCLAP::ValueArg<std::string> script{"", "script", "session script (JSON)", false, "", "path", cmd};
-    TCLAP::ValueArg<std::string> transcript{"", "transcript", "write the normalised session here", false, "",
+    TCLAP::ValueArg<std::string> transcript{"",     "transcript", "write the normalised session here", false, "",
                                             "path", cmd};
-    TCLAP::ValueArg<std::string> direct{"", "direct", "IP:PORT of the backend primary (load)", false, "",
+    TCLAP::ValueArg<std::string> direct{"",        "direct", "IP:PORT of the backend primary (load)", false, "",
                                         "address", cmd};
     TCLAP::ValueArg<std::string> service{"", "service", "service (load)", false, "stockbook", "name", cmd};
     TCLAP::ValueArg<std::string> database{"", "database", "database (load)", false, "catalogue", "name", cmd};
-    TCLAP::ValueArg<std::string> sql{"", "sql", "statement (load)", false,
-                                     "SELECT id, kind, price_fjd FROM units WHERE id = 1", "sql", cmd};
+    TCLAP::ValueArg<std::string> sql{
+        "", "sql", "statement (load)", false, "SELECT id, kind, price_fjd FROM units WHERE id = 1", "sql", cmd};
     TCLAP::ValueArg<std::size_t> sessions{"", "sessions", "concurrent sessions (load)", false, 8, "count", cmd};
     TCLAP::ValueArg<int> millis{"", "duration-ms", "how long each load runs", false, 2000, "ms", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
--- a/src/cornellever/config/load.cpp
+++ b/src/cornellever/config/load.cpp
@@ -78,6 +78,12 @@
     explicit builder(load_result& out) : m_out{out} {}
 
     void take(const ini::entry& item) {
+        if (item.key.find_first_of(" \t") != std::string::npos) {
+            // INI also splits at ':', so "address 127.0.0.1:7101" reads as
+            // the key "address 127.0.0.1": say what the operator forgot.
+            report(item.where, "'" + item.key + ":" + item.value + "' is not key = value: is '=' missing?");
+            return;
+        }
         const auto [kind, name] = split_section(item.section);
         if (kind == "cluster" && name.empty()) {
             take_cluster(item);
@@ -232,9 +238,8 @@
             check_instance(name, pending, addresses);
         }
         for (const auto& [name, pending] : m_services) {
-            const bool used = std::ranges::any_of(m_instances, [&](const auto& item) {
-                return item.second.path.service == name;
-            });
+            const bool used =
+                std::ranges::any_of(m_instances, [&](const auto& item) { return item.second.path.service == name; });
             if (!used) {
                 report(pending.where, "service '" + name + "' has no [instance " + name + "/DATABASE/NAME]");
             }
@@ -244,13 +249,13 @@
     void check_instance(const std::string& name, const pending_instance& pending,
                         std::map<std::string, ini::origin>& addresses) {
         if (!m_services.contains(pending.path.service)) {
-            report(pending.where, "instance '" + name + "' names service '" + pending.path.service +
-                                      "', which no [service] declares");
+            report(pending.where,
+                   "instance '" + name + "' names service '" + pending.path.service + "', which no [service] declares");
         }
         if (!pending.has_zone) {
             report(pending.where, "instance '" + name + "' has no zone");
-        } else if (!m_out.config.zones.empty() && std::ranges::find(m_out.config.zones, pending.value.zone) ==
-                                                         m_out.config.zones.end()) {
+        } else if (!m_out.config.zones.empty() &&
+                   std::ranges::find(m_out.config.zones, pending.value.zone) == m_out.config.zones.end()) {
             report(pending.where, "instance '" + name + "' is in zone '" + pending.value.zone +
                                       "', which [cluster] zones does not list");
         }
@@ -260,8 +265,9 @@
         }
         const auto [found, inserted] = addresses.emplace(pending.value.address, pending.where);
         if (!inserted) {
-            report(pending.where, "instance '" + name + "' has address " + pending.value.address + ", already used at " +
-                                      found->second.file + ":" + std::to_string(found->second.line));
+            report(pending.where, "instance '" + name + "' has address " + pending.value.address +
+                                      ", already used at " + found->second.file + ":" +
+                                      std::to_string(found->second.line));
         }
     }
 
--- a/src/cornellever/ctl/main.cpp
+++ b/src/cornellever/ctl/main.cpp
@@ -91,10 +91,9 @@
 int ctl_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"Operators' command line: check, apply, dump, call", ' ', "0.1"};
     TCLAP::UnlabeledValueArg<std::string> command{"command", "check, apply, dump or call", true, "", "command", cmd};
-    TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "folder, or address [method [params]]", false,
-                                                   "operand", cmd};
-    TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform (apply)", false, "", "address",
-                                          cmd};
+    TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "folder, or address [method [params]]", false, "operand",
+                                                   cmd};
+    TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform (apply)", false, "", "address", cmd};
     TCLAP::ValueArg<std::uint64_t> expect{"", "expect-version", "apply only over this version", false, 0, "version",
                                           cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
--- a/src/cornellever/ini/reader.cpp
+++ b/src/cornellever/ini/reader.cpp
@@ -117,8 +117,8 @@
     std::string section;
     while (start < lines.size()) {
         document pass;
-        parse_state state{line_feed{&lines, start, section.empty() ? "" : "[" + section + "]", false, start},
-                          file, &pass, section};
+        parse_state state{line_feed{&lines, start, section.empty() ? "" : "[" + section + "]", false, start}, file,
+                          &pass, section};
         const int failed_at = ini_parse_stream(feed_line, &state.feed, on_entry, &state);
         if (failed_at <= 0) {
             keep_before(pass, lines.size(), into);
--- a/src/cornellever/platform/main.cpp
+++ b/src/cornellever/platform/main.cpp
@@ -10,10 +10,9 @@
     TCLAP::CmdLine cmd{"Stand-in for the platform: table service, object store, VM list", ' ', "0.1"};
     TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT to listen on", true, "", "address", cmd};
     TCLAP::ValueArg<int> lag{"", "vm-list-lag-ms", "how late the VM list shows changes", false, 2000, "ms", cmd};
-    TCLAP::ValueArg<std::string> snapshot{"", "snapshot", "file that keeps rows across restarts", false, "",
+    TCLAP::ValueArg<std::string> snapshot{"",     "snapshot", "file that keeps rows across restarts", false, "",
                                           "path", cmd};
-    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level",
-                                       cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
     if (!start_logging("platform", level.getValue())) {
         return 2;
@@ -24,9 +23,8 @@
         return 2;
     }
     asio::io_context io;
-    platform::service stand_in{io.get_executor(),
-                               platform::service_settings{std::chrono::milliseconds{lag.getValue()},
-                                                          snapshot.getValue()}};
+    platform::service stand_in{
+        io.get_executor(), platform::service_settings{std::chrono::milliseconds{lag.getValue()}, snapshot.getValue()}};
     rpc::server rpc{io.get_executor()};
     stand_in.bind(rpc);
     auto bound = rpc.listen(where);
--- a/src/cornellever/platform/service.cpp
+++ b/src/cornellever/platform/service.cpp
@@ -9,15 +9,16 @@
 namespace cornellever::platform {
 
 service::service(asio::any_io_executor executor, service_settings settings)
-    : m_executor{executor}, m_settings{std::move(settings)}, m_vms{m_settings.vm_list_lag} {
+    : m_executor{std::move(executor)}
+    , m_settings{std::move(settings)}
+    , m_vms{m_settings.vm_list_lag} {
     load_snapshot();
 }
 
 void service::bind(rpc::server& rpc) {
     const auto add = [&](std::string name, bool writes, result<Json::Value> (service::*call)(params)) {
-        rpc.on(std::move(name), [this, writes, call](params in, rpc::connection& conn) {
-            return guarded(in, conn, writes, call);
-        });
+        rpc.on(std::move(name),
+               [this, writes, call](params in, rpc::connection& conn) { return guarded(in, conn, writes, call); });
     };
     add("table.get", false, &service::table_get);
     add("table.put", true, &service::table_put);
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -33,7 +33,11 @@
 
 control::control(asio::any_io_executor own, asio::any_io_executor traffic, router& traffic_router,
                  tcp::endpoint platform, control_limits limits)
-    : m_own{own}, m_traffic{traffic}, m_router{traffic_router}, m_platform{platform}, m_limits{limits} {}
+    : m_own{std::move(own)}
+    , m_traffic{std::move(traffic)}
+    , m_router{traffic_router}
+    , m_platform{std::move(platform)}
+    , m_limits{limits} {}
 
 void control::start() {
     asio::co_spawn(m_own, follow_config(), asio::detached);
@@ -51,8 +55,8 @@
         if (!row) {
             // The platform down or slow: the last good configuration stays in force.
             if (!m_platform_failing) {
-                log_event(event::config_fetch_failed, "reason=\"" + row.error().message + "\" version_in_force=" +
-                                                          std::to_string(m_version));
+                log_event(event::config_fetch_failed,
+                          "reason=\"" + row.error().message + "\" version_in_force=" + std::to_string(m_version));
             }
             m_platform_failing = true;
         } else {
@@ -64,8 +68,8 @@
                     parsed->version = version;
                     take(std::move(*parsed));
                 } else {
-                    log_event(event::config_refused, "version=" + std::to_string(version) + " reason=\"" +
-                                                         parsed.error().message + "\"");
+                    log_event(event::config_refused,
+                              "version=" + std::to_string(version) + " reason=\"" + parsed.error().message + "\"");
                 }
             }
         }
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -63,9 +63,8 @@
         return;
     }
     timer.expires_after(drain_poll);
-    timer.async_wait([&, until](const boost::system::error_code&) {
-        drain_then_stop(timer, rpc, traffic, until, io, control_io);
-    });
+    timer.async_wait(
+        [&, until](const boost::system::error_code&) { drain_then_stop(timer, rpc, traffic, until, io, control_io); });
 }
 
 void sweep(asio::steady_timer& timer, proxy::router& traffic) {
@@ -82,14 +81,13 @@
 
 int proxy_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"The proxy between callers and backends", ' ', "0.1"};
-    TCLAP::ValueArg<std::string> folder{"", "settings", "folder of INI files with [proxy] settings", false, "",
+    TCLAP::ValueArg<std::string> folder{"",     "settings", "folder of INI files with [proxy] settings", false, "",
                                         "path", cmd};
     TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT for callers", false, "", "address", cmd};
     TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform", false, "", "address", cmd};
     TCLAP::ValueArg<std::string> zone{"", "zone", "this proxy's zone (data centre)", false, "", "zone", cmd};
     TCLAP::ValueArg<std::string> name{"", "name", "this proxy's name", false, "", "name", cmd};
-    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level",
-                                       cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
     if (!start_logging("proxy", level.getValue())) {
         return 2;
@@ -124,8 +122,7 @@
         return 1;
     }
     rpc.start();
-    proxy::control watcher{control_io.get_executor(), io.get_executor(), traffic, platform_at,
-                           proxy::control_limits{}};
+    proxy::control watcher{control_io.get_executor(), io.get_executor(), traffic, platform_at, proxy::control_limits{}};
     watcher.start();
     asio::steady_timer sweeper{io};
     sweep(sweeper, traffic);
--- a/src/cornellever/proxy/pool.cpp
+++ b/src/cornellever/proxy/pool.cpp
@@ -8,7 +8,10 @@
 namespace cornellever::proxy {
 
 pool::pool(asio::any_io_executor executor, tcp::endpoint peer, std::size_t budget, std::size_t max_waiters)
-    : m_executor{executor}, m_peer{peer}, m_budget{budget}, m_max_waiters{max_waiters} {}
+    : m_executor{std::move(executor)}
+    , m_peer{std::move(peer)}
+    , m_budget{budget}
+    , m_max_waiters{max_waiters} {}
 
 asio::awaitable<result<pool::lease>> pool::acquire(std::chrono::milliseconds wait) {
     if (!m_idle.empty()) {
@@ -21,7 +24,8 @@
         co_return std::make_unique<rpc::channel>(m_executor, m_peer);
     }
     if (m_waiters.size() >= m_max_waiters) {
-        log_event(event::pool_exhausted, "instance=" + to_string(m_peer) + " waiters=" + std::to_string(m_waiters.size()));
+        log_event(event::pool_exhausted,
+                  "instance=" + to_string(m_peer) + " waiters=" + std::to_string(m_waiters.size()));
         co_return fail(errc::busy, "all " + std::to_string(m_budget) + " connections to " + to_string(m_peer) +
                                        " are in use and the queue is full");
     }
--- a/src/cornellever/proxy/router.cpp
+++ b/src/cornellever/proxy/router.cpp
@@ -32,7 +32,10 @@
 } // namespace
 
 router::router(asio::any_io_executor executor, std::string name, std::string zone, traffic_limits limits)
-    : m_executor{executor}, m_name{std::move(name)}, m_zone{std::move(zone)}, m_limits{limits} {}
+    : m_executor{std::move(executor)}
+    , m_name{std::move(name)}
+    , m_zone{std::move(zone)}
+    , m_limits{limits} {}
 
 void router::bind(rpc::server& rpc) {
     rpc.on("execute", [this](params in, rpc::connection& conn) { return execute(in, conn); });
@@ -111,7 +114,8 @@
         co_return std::unexpected{owner.error()};
     }
     if (config::find_database(**owner, request->database) == nullptr) {
-        co_return fail(errc::not_found, "service '" + request->service + "' has no database '" + request->database + "'");
+        co_return fail(errc::not_found,
+                       "service '" + request->service + "' has no database '" + request->database + "'");
     }
     const auto started = clock::now();
     if (request->mode == intent::read) {
@@ -148,7 +152,8 @@
         }
         // A replica that is behind, busy or gone refused before running the
         // read, and a read changes nothing: the primary can answer instead.
-        log_event(event::replica_fallback, "instance=" + target.key + " reason=" + std::string{to_string(out.error().code)});
+        log_event(event::replica_fallback,
+                  "instance=" + target.key + " reason=" + std::string{to_string(out.error().code)});
     }
     ++m_fallbacks;
     co_return co_await on_primary(request);
--- a/src/cornellever/proxy/topology.cpp
+++ b/src/cornellever/proxy/topology.cpp
@@ -75,9 +75,8 @@
             out.push_back(&view);
         }
     }
-    std::ranges::stable_sort(out, [&](const auto* left, const auto* right) {
-        return (left->zone == zone) > (right->zone == zone);
-    });
+    std::ranges::stable_sort(
+        out, [&](const auto* left, const auto* right) { return (left->zone == zone) > (right->zone == zone); });
     return out;
 }
 
--- a/src/cornellever/rpc/channel.cpp
+++ b/src/cornellever/rpc/channel.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
 
 std::string describe(const tcp::endpoint& peer) {
     return peer.address().to_string() + ":" + std::to_string(peer.port());
@@ -19,7 +19,9 @@
 
 } // namespace
 
-channel::channel(asio::any_io_executor executor, tcp::endpoint peer) : m_stream{executor}, m_peer{peer} {}
+channel::channel(asio::any_io_executor executor, tcp::endpoint peer)
+    : m_stream{std::move(executor)}
+    , m_peer{std::move(peer)} {}
 
 void channel::close() {
     boost::system::error_code ignored;
@@ -77,8 +79,8 @@
     // connection after sending cannot tell "not run" from "ran".
     m_broken = true;
     close();
-    co_return fail(errc::outcome_unknown, std::string{method} + " to " + describe(m_peer) +
-                                              " got no whole answer: " + ec.message());
+    co_return fail(errc::outcome_unknown,
+                   std::string{method} + " to " + describe(m_peer) + " got no whole answer: " + ec.message());
 }
 
 result<Json::Value> call_blocking(const tcp::endpoint& peer, std::string_view method, const Json::Value& params,
@@ -87,8 +89,7 @@
     channel link{io.get_executor(), peer};
     result<Json::Value> answer = fail(errc::internal, "not called");
     asio::co_spawn(
-        io, [&]() -> asio::awaitable<void> { answer = co_await link.call(method, params, deadline); },
-        asio::detached);
+        io, [&]() -> asio::awaitable<void> { answer = co_await link.call(method, params, deadline); }, asio::detached);
     io.run();
     return answer;
 }
--- a/src/cornellever/rpc/server.cpp
+++ b/src/cornellever/rpc/server.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t max_body_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 
 /// Holds a counter up while a request is being handled.
 class counted {
@@ -29,7 +29,7 @@
 
 } // namespace
 
-server::server(asio::any_io_executor executor) : m_executor{executor}, m_acceptor{executor} {}
+server::server(const asio::any_io_executor& executor) : m_executor{executor}, m_acceptor{executor} {}
 
 void server::on(std::string method, handler call) {
     m_handlers[std::move(method)] = std::move(call);
--- a/src/cornellever/rpc/server.hpp
+++ b/src/cornellever/rpc/server.hpp
@@ -41,7 +41,7 @@
 class server {
 public:
     /// A server on `executor`; nothing is bound until `listen`.
-    explicit server(asio::any_io_executor executor);
+    explicit server(const asio::any_io_executor& executor);
 
     /// Registers the handler of `method`; a later call replaces it.
     void on(std::string method, handler call);
