--- a/src/cornellever/bench/load.cpp
+++ b/src/cornellever/bench/load.cpp
@@ -1,5 +1,7 @@
 #include "cornellever/bench/load.hpp"
 
+#include <sys/resource.h>
+
 #include "cornellever/rpc/channel.hpp"
 
 namespace cornellever::bench {
@@ -21,10 +23,33 @@
         } else {
             ++into.failed;
             if (!link.usable()) {
-                co_return;
+                break;
             }
         }
     }
+    into.bytes += link.bytes_sent() + link.bytes_received();
+}
+
+std::chrono::microseconds own_cpu() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto micros = [](const timeval& value) {
+        return std::chrono::seconds{value.tv_sec} + std::chrono::microseconds{value.tv_usec};
+    };
+    return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
+asio::awaitable<void> hold_one(tcp::endpoint target, std::string method, std::chrono::milliseconds hold,
+                               std::size_t& open) {
+    rpc::channel link{co_await asio::this_coro::executor, target};
+    auto answer = co_await link.call(method, Json::Value{Json::objectValue}, call_deadline);
+    if (!link.usable() || (!answer && answer.error().code == errc::unavailable)) {
+        co_return;
+    }
+    ++open;
+    asio::steady_timer wait{co_await asio::this_coro::executor, hold};
+    boost::system::error_code ignored;
+    co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 } // namespace
@@ -38,13 +63,26 @@
     asio::io_context io;
     load_figures out;
     const auto started = clock::now();
+    const auto cpu_before = own_cpu();
     const auto until = started + plan.duration;
     for (std::size_t index = 0; index < plan.sessions; ++index) {
         asio::co_spawn(io, one_session(plan, until, out), asio::detached);
     }
     io.run();
     out.elapsed = clock::now() - started;
+    out.cpu = own_cpu() - cpu_before;
     return out;
 }
 
+std::size_t hold_connections(const tcp::endpoint& target, std::string_view method, std::size_t count,
+                             std::chrono::milliseconds hold) {
+    asio::io_context io;
+    std::size_t open = 0;
+    for (std::size_t index = 0; index < count; ++index) {
+        asio::co_spawn(io, hold_one(target, std::string{method}, hold, open), asio::detached);
+    }
+    io.run();
+    return open;
+}
+
 } // namespace cornellever::bench
--- a/src/cornellever/bench/load.hpp
+++ b/src/cornellever/bench/load.hpp
@@ -26,12 +26,22 @@
     std::size_t completed{0};
     std::size_t failed{0};
     std::chrono::nanoseconds elapsed{0};
+    std::chrono::microseconds cpu{0};
+    std::uint64_t bytes{0};
     metrics::latency latency;
 
     [[nodiscard]] double per_second() const;
 };
 
-/// Runs the plan on one thread and returns the figures.
+/// Runs the plan on one thread and returns the figures; `cpu` is this
+/// process's own processor time (user and system) over the run, `bytes`
+/// what crossed the wire both ways.
 [[nodiscard]] load_figures run_load(const load_plan& plan);
 
+/// Opens `count` connections to `target`, makes one `method` call on each,
+/// then holds them all open for `hold` (to measure a server's memory per
+/// idle connection). Returns how many were open at the end.
+[[nodiscard]] std::size_t hold_connections(const tcp::endpoint& target, std::string_view method, std::size_t count,
+                                           std::chrono::milliseconds hold);
+
 } // namespace cornellever::bench
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -64,6 +64,21 @@
                 figures.latency.quantile_us(0.99));
 }
 
+int run_call_mode(const tcp::endpoint& target, const std::string& method, const std::string& params_text,
+                  std::size_t sessions, int millis) {
+    auto params = rpc::parse_json(params_text);
+    if (!params) {
+        std::fprintf(stderr, "--params: %s\n", params.error().message.c_str());
+        return 2;
+    }
+    const auto figures = bench::run_load({target, method, *params, sessions, std::chrono::milliseconds{millis}});
+    const auto calls = static_cast<double>(std::max<std::size_t>(figures.completed + figures.failed, 1));
+    print_figures(method.c_str(), figures);
+    std::printf("per call: client cpu %.1f us, %.0f bytes on the wire (both ways, HTTP included)\n",
+                static_cast<double>(figures.cpu.count()) / calls, static_cast<double>(figures.bytes) / calls);
+    return 0;
+}
+
 int run_load_mode(const tcp::endpoint& proxy, const tcp::endpoint& direct, const std::string& service,
                   const std::string& database, const std::string& sql, std::size_t sessions, int millis) {
     Json::Value statement;
@@ -89,7 +104,7 @@
 
 int bench_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"Load and experiment tool: scripted sessions and load through proxies", ' ', "0.1"};
-    TCLAP::UnlabeledValueArg<std::string> mode{"mode", "session or load", true, "", "mode", cmd};
+    TCLAP::UnlabeledValueArg<std::string> mode{"mode", "session, load, call or hold", true, "", "mode", cmd};
     TCLAP::MultiArg<std::string> proxies{"", "proxy", "IP:PORT of a proxy (repeat for more)", false, "address", cmd};
     TCLAP::ValueArg<std::string> script{"", "script", "session script (JSON)", false, "", "path", cmd};
     TCLAP::ValueArg<std::string> transcript{"",     "transcript", "write the normalised session here", false, "",
@@ -101,9 +116,24 @@
     TCLAP::ValueArg<std::string> sql{
         "", "sql", "statement (load)", false, "SELECT id, kind, price_fjd FROM units WHERE id = 1", "sql", cmd};
     TCLAP::ValueArg<std::size_t> sessions{"", "sessions", "concurrent sessions (load)", false, 8, "count", cmd};
+    TCLAP::ValueArg<std::string> target{"", "target", "IP:PORT of any role (call, hold)", false, "", "address", cmd};
+    TCLAP::ValueArg<std::string> method{"", "method", "method to call (call, hold)", false, "status", "name", cmd};
+    TCLAP::ValueArg<std::string> params{"", "params", "params as JSON (call)", false, "{}", "json", cmd};
+    TCLAP::ValueArg<std::size_t> connections{"", "connections", "connections to hold (hold)", false, 1000, "count",
+                                             cmd};
     TCLAP::ValueArg<int> millis{"", "duration-ms", "how long each load runs", false, 2000, "ms", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
     init_logging("bench", severity::warning);
+    tcp::endpoint any;
+    if (mode.getValue() == "call" && parse_endpoint(target.getValue(), any)) {
+        return run_call_mode(any, method.getValue(), params.getValue(), sessions.getValue(), millis.getValue());
+    }
+    if (mode.getValue() == "hold" && parse_endpoint(target.getValue(), any)) {
+        const auto open = bench::hold_connections(any, method.getValue(), connections.getValue(),
+                                                  std::chrono::milliseconds{millis.getValue()});
+        std::printf("held %zu connections for %d ms\n", open, millis.getValue());
+        return open == connections.getValue() ? 0 : 1;
+    }
     std::vector<tcp::endpoint> targets;
     if (!parse_all(proxies.getValue(), targets)) {
         std::fprintf(stderr, "give at least one --proxy IP:PORT\n");
@@ -118,7 +148,9 @@
                              sessions.getValue(), millis.getValue());
     }
     std::fprintf(stderr, "usage: cornellever bench session --proxy A --proxy B --script FILE [--transcript OUT]\n"
-                         "       cornellever bench load --proxy A --direct BACKEND [--sessions N --duration-ms M]\n");
+                         "       cornellever bench load --proxy A --direct BACKEND [--sessions N --duration-ms M]\n"
+                         "       cornellever bench call --target ADDR --method M [--params JSON --sessions N]\n"
+                         "       cornellever bench hold --target ADDR --connections N --duration-ms M\n");
     return 2;
 }
 
--- a/src/cornellever/rpc/channel.cpp
+++ b/src/cornellever/rpc/channel.cpp
@@ -65,11 +65,12 @@
 
     boost::system::error_code ec;
     m_stream.expires_after(deadline);
-    co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    m_bytes_sent += co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec) {
         http::response_parser<http::string_body> parser;
         parser.body_limit(max_answer_bytes);
-        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+        m_bytes_received +=
+            co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
         if (!ec) {
             m_stream.expires_never();
             co_return decode_response(parser.get().body(), id);
--- a/src/cornellever/rpc/channel.hpp
+++ b/src/cornellever/rpc/channel.hpp
@@ -34,6 +34,10 @@
     /// The peer this channel talks to.
     [[nodiscard]] const tcp::endpoint& peer() const noexcept { return m_peer; }
 
+    /// Bytes written and read on this channel so far, HTTP headers included.
+    [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
+    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return m_bytes_received; }
+
     /// Closes the connection; the next call reconnects.
     void close();
 
@@ -44,6 +48,8 @@
     boost::beast::flat_buffer m_buffer;
     tcp::endpoint m_peer;
     std::uint64_t m_next_id{1};
+    std::uint64_t m_bytes_sent{0};
+    std::uint64_t m_bytes_received{0};
     bool m_connected{false};
     bool m_broken{false};
 };
