--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,12 +2,15 @@
 # process. Sourced by the demo and the system tests; not run alone.
 #
 #   cluster_start BIN EXAMPLE WORK IP LAG_MS   platform, backends, 2 proxies; applies the config
-#   cluster_stop                               SIGTERM to every process started, then waits
+#   cluster_stop                               SIGTERM to every process started, then waits;
+#                                              fails when one had crashed
 #
 # IP is a loopback address (127.x.y.z); the example's 127.0.0.1 addresses are
 # rewritten to it, so runs on different IPs never share a port.
 
 CLUSTER_PIDS=()
+declare -A CLUSTER_BACKEND     # address by "database/zone"
+declare -A CLUSTER_BACKEND_PID # process by "database/zone"
 
 cluster_log() { printf '%s\n' "$*" >&2; }
 
@@ -61,6 +64,8 @@
     cluster_spawn "$work/logs/backend-$db-$zone.log" "$bin" backend --name "$db/$zone" --listen "$address" \
       --role "$role" --data "$work/data/$db-$zone" --sql "$example/$schema" --lag-ms "$lag" \
       --connect-delay-ms 12 "${replicas[@]}"
+    CLUSTER_BACKEND[$db/$zone]=$address
+    CLUSTER_BACKEND_PID[$db/$zone]=${CLUSTER_PIDS[-1]}
     count=$((count + 1))
   done <"$example/backends.txt"
 
@@ -71,14 +76,35 @@
     --platform "$CLUSTER_PLATFORM"
 
   cluster_wait_for "the platform" 50 "$bin" ctl call "$CLUSTER_PLATFORM" dump || return 1
+  local address
+  for address in "$CLUSTER_PROXY_A" "$CLUSTER_PROXY_B"; do cluster_machine "$address" proxy live; done
   "$bin" ctl apply "$work/config" --platform "$CLUSTER_PLATFORM" >"$work/logs/apply.log" || return 1
   cluster_wait_for "proxy A to see $count healthy instances" 100 cluster_ready "$bin" "$CLUSTER_PROXY_A" "$count" || return 1
   cluster_wait_for "proxy B to see $count healthy instances" 100 cluster_ready "$bin" "$CLUSTER_PROXY_B" "$count" || return 1
 }
 
+# Tells the platform about a machine: cluster_machine ADDRESS KIND STATE
+cluster_machine() {
+  "$CLUSTER_BIN" ctl call "$CLUSTER_PLATFORM" vms.set "{\"address\":\"$1\",\"kind\":\"$2\",\"state\":\"$3\"}" >/dev/null
+}
+
+# Sets fault switches of a process: cluster_fault ADDRESS JSON
+cluster_fault() { "$CLUSTER_BIN" ctl call "$1" fault.set "$2" >/dev/null; }
+
+# One field of a process's dump: cluster_field ADDRESS NAME (the first match)
+cluster_field() { "$CLUSTER_BIN" ctl dump "$1" 2>/dev/null | sed -n "s/.*\"$2\" : \"\{0,1\}\([a-z0-9_-]*\).*/\1/p" | head -1; }
+
+# Stops every process; fails when one had crashed (died of another signal
+# than the SIGTERM or SIGKILL that tests send).
 cluster_stop() {
-  local pid
-  for pid in "${CLUSTER_PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null; done
-  for pid in "${CLUSTER_PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+  local pid status crashed=0
+  for pid in "${CLUSTER_PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${CLUSTER_PIDS[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${CLUSTER_PIDS[@]}"; do
+    status=0
+    wait "$pid" 2>/dev/null || status=$?
+    case "$status" in 0|127|137|143) ;; *) cluster_log "process $pid ended with status $status"; crashed=1 ;; esac
+  done
   CLUSTER_PIDS=()
+  return "$crashed"
 }
--- a/src/cornellever/backend/instance.hpp
+++ b/src/cornellever/backend/instance.hpp
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "cornellever/backend/database.hpp"
+#include "cornellever/backend/faults.hpp"
 #include "cornellever/backend/log.hpp"
-#include "cornellever/backend/sqlite.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/rpc/server.hpp"
 
@@ -27,13 +29,22 @@
     std::filesystem::path folder;
     std::chrono::milliseconds lag{0};
     std::chrono::milliseconds connect_delay{0};
+    std::size_t max_connections{64};
 };
 
 /// A stand-in database server instance: a real SQLite database, a role, a
-/// term and a log position that advances with each committed write, which a
-/// primary ships to its replicas asynchronously, held back by `lag`.
-/// Methods: `execute`, `begin`, `commit`, `rollback`, `replicate`, `status`,
-/// `fault.set`, `dump`. Single-threaded.
+/// term and a log. A primary appends each committed write to its log and
+/// ships it; replicas receive it at once and apply it `lag` later.
+///
+/// Terms fence: an instance remembers the highest term it was asked to keep
+/// (`fence`, `promote`, `replicate`) and refuses whatever carries a lower
+/// one. A primary that learns of a higher term becomes a replica and rolls
+/// back its open transactions.
+///
+/// Methods for callers: `execute`, `begin`, `commit`, `rollback`,
+/// `await_received`, `status`, `dump`. For promotion: `quiesce`, `fence`,
+/// `promote`. Between instances: `replicate`. For tests: `fault.set`.
+/// Single-threaded.
 class instance {
 public:
     /// Creates the database in `settings.folder` and runs the scripts.
@@ -44,46 +55,63 @@
     /// Registers every method on `rpc`.
     void bind(rpc::server& rpc);
 
-    /// Starts shipping the log to the replicas, while primary.
+    /// Starts shipping (while primary) and applying (while replica).
     void start();
 
-    /// The position of the last write applied here.
-    [[nodiscard]] std::uint64_t position() const noexcept;
-
 private:
     using params = const Json::Value&;
     using answer = asio::awaitable<result<Json::Value>>;
+    using clock = std::chrono::steady_clock;
     struct client;
 
-    instance(asio::any_io_executor executor, instance_settings settings, sqlite_connection apply);
+    instance(asio::any_io_executor executor, instance_settings settings, database data);
 
     answer execute(params in, rpc::connection& conn);
     answer begin(params in, rpc::connection& conn);
     answer commit(params in, rpc::connection& conn);
     answer rollback(params in, rpc::connection& conn);
-    answer replicate(params in, rpc::connection& conn);
     answer status(params in, rpc::connection& conn);
     answer set_fault(params in, rpc::connection& conn);
+    answer await_received(params in, rpc::connection& conn);
+    answer replicate(params in, rpc::connection& conn);
+    answer quiesce(params in, rpc::connection& conn);
+    answer fence(params in, rpc::connection& conn);
+    answer promote(params in, rpc::connection& conn);
 
     asio::awaitable<result<client*>> attach(rpc::connection& conn);
+    asio::awaitable<void> after_effect(rpc::connection& conn);
     [[nodiscard]] result<void> admit_read(params in) const;
     [[nodiscard]] result<void> admit_write(params in) const;
-    [[nodiscard]] result<void> apply(const log_entry& entry);
+    [[nodiscard]] Json::Value where_written() const;
     [[nodiscard]] std::chrono::milliseconds staleness() const;
+    [[nodiscard]] std::size_t open_transactions() const;
     [[nodiscard]] Json::Value describe() const;
-    asio::awaitable<void> ship(tcp::endpoint replica);
+
+    void append(std::vector<logged_statement> statements);
+    void step_down();
+    void keep_term(std::uint64_t term);
+    void wake_waiting();
+    void receive(const Json::Value& entries);
+    void give_up_from(std::uint64_t position);
+    void start_shipping();
+    asio::awaitable<void> ship(tcp::endpoint replica, std::uint64_t reign);
+    asio::awaitable<void> apply_received();
 
     asio::any_io_executor m_executor;
     instance_settings m_settings;
-    sqlite_connection m_apply;
+    database m_data;
     role m_role;
     std::uint64_t m_term;
+    /// Counts changes of role; shipping loops of an earlier reign end.
+    std::uint64_t m_reign{0};
+    bool m_quiescing{false};
     write_log m_log;
-    std::uint64_t m_applied{0};
-    std::chrono::steady_clock::time_point m_fresh_as_of;
-    std::chrono::milliseconds m_lag;
-    std::uint64_t m_silent_below{0};
-    std::uint64_t m_connections_seen{0};
+    faults m_faults;
+    std::set<client*> m_clients;
+    /// Timers of the `await_received` calls under way.
+    std::set<asio::steady_timer*> m_waiting;
+    clock::time_point m_heard_at;
+    clock::time_point m_complete_as_of;
 };
 
 } // namespace cornellever::backend
--- a/src/cornellever/backend/log.cpp
+++ b/src/cornellever/backend/log.cpp
@@ -8,6 +8,27 @@
     return m_last;
 }
 
+void write_log::receive(log_entry entry) {
+    m_last = entry.position;
+    m_entries.push_back(std::move(entry));
+}
+
+void write_log::truncate_from(std::uint64_t position) {
+    while (!m_entries.empty() && m_entries.back().position >= position) {
+        m_entries.pop_back();
+    }
+    m_last = m_entries.empty() ? 0 : m_entries.back().position;
+}
+
+log_end write_log::end() const noexcept {
+    return m_entries.empty() ? log_end{} : log_end{m_entries.back().term, m_entries.back().position};
+}
+
+bool write_log::holds(std::uint64_t position, std::uint64_t term) const {
+    const auto* entry = at(position);
+    return entry != nullptr && entry->term == term;
+}
+
 std::vector<const log_entry*> write_log::after(std::uint64_t position, std::size_t limit) const {
     std::vector<const log_entry*> out;
     for (auto next = position + 1; next <= m_last && out.size() < limit; ++next) {
--- a/src/cornellever/backend/log.hpp
+++ b/src/cornellever/backend/log.hpp
@@ -21,17 +21,33 @@
 struct log_entry {
     std::uint64_t position{0};
     std::uint64_t term{0};
-    std::chrono::steady_clock::time_point committed_at;
+    std::chrono::steady_clock::time_point received_at;
     std::vector<logged_statement> statements;
 };
 
-/// The primary's log of committed writes, kept in memory for shipping.
+/// Where a log ends; ordered by term first, as a later term's entry at the
+/// same position replaces an earlier one's.
+struct log_end {
+    std::uint64_t term{0};
+    std::uint64_t position{0};
+
+    friend auto operator<=>(const log_end&, const log_end&) = default;
+};
+
+/// An instance's log of committed writes, kept whole in memory: a primary
+/// ships from it, a replica receives into it before applying.
 class write_log {
 public:
     /// Appends a committed transaction at the next position, which it returns.
     std::uint64_t append(std::uint64_t term, std::vector<logged_statement> statements,
                          std::chrono::steady_clock::time_point now);
 
+    /// Adds an entry received from the primary; its position must be the next.
+    void receive(log_entry entry);
+
+    /// Drops the entries from `position` on.
+    void truncate_from(std::uint64_t position);
+
     /// The entries after `position`, at most `limit` of them.
     [[nodiscard]] std::vector<const log_entry*> after(std::uint64_t position, std::size_t limit) const;
 
@@ -41,11 +57,11 @@
     /// The position of the last entry; 0 for an empty log.
     [[nodiscard]] std::uint64_t last() const noexcept { return m_last; }
 
-    /// Continues numbering from `position`, as a replica promoted to primary does.
-    void reset(std::uint64_t position) {
-        m_entries.clear();
-        m_last = position;
-    }
+    /// The term and position of the last entry.
+    [[nodiscard]] log_end end() const noexcept;
+
+    /// Whether the log holds, at `position`, the entry written in `term`.
+    [[nodiscard]] bool holds(std::uint64_t position, std::uint64_t term) const;
 
     /// Entries held.
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
--- a/src/cornellever/backend/main.cpp
+++ b/src/cornellever/backend/main.cpp
@@ -31,7 +31,8 @@
     TCLAP::MultiArg<std::string> replicas{"", "replica", "IP:PORT of a replica to ship to", false, "address", cmd};
     TCLAP::MultiArg<std::string> scripts{"", "sql", "SQL script run at start, in order", false, "path", cmd};
     TCLAP::ValueArg<std::string> folder{"", "data", "folder for the database file", true, "", "path", cmd};
-    TCLAP::ValueArg<int> lag{"", "lag-ms", "how long shipped writes are held back", false, 0, "ms", cmd};
+    TCLAP::ValueArg<int> lag{"", "lag-ms", "how long a replica holds received writes back", false, 0, "ms", cmd};
+    TCLAP::ValueArg<std::size_t> connections{"", "max-connections", "connections accepted", false, 64, "count", cmd};
     TCLAP::ValueArg<int> delay{"", "connect-delay-ms", "cost of a new connection", false, 0, "ms", cmd};
     TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
@@ -44,6 +45,7 @@
     settings.term = term.getValue();
     settings.folder = folder.getValue();
     settings.lag = std::chrono::milliseconds{lag.getValue()};
+    settings.max_connections = connections.getValue();
     settings.connect_delay = std::chrono::milliseconds{delay.getValue()};
     for (const auto& script : scripts.getValue()) {
         settings.scripts.emplace_back(script);
@@ -52,7 +54,7 @@
     if (!parse_endpoint(listen.getValue(), where) || !parse_endpoints(replicas.getValue(), settings.replicas)) {
         return 2;
     }
-    asio::io_context io;
+    event_loop io;
     auto created = backend::instance::create(io.get_executor(), settings);
     if (!created) {
         std::fprintf(stderr, "cannot start: %s\n", created.error().message.c_str());
@@ -71,6 +73,7 @@
               "role=backend name=" + settings.name + " listen=" + to_string(*bound) + " as=" + role.getValue());
     auto signals = on_stop_signal(io, [&] { io.stop(); });
     io.run();
+    io.abandon_pending();
     log_event(event::process_stopped, "role=backend name=" + settings.name);
     return 0;
 }
--- a/src/cornellever/backend/sqlite.cpp
+++ b/src/cornellever/backend/sqlite.cpp
@@ -80,7 +80,11 @@
 result<void> sqlite_connection::exec(std::string_view script) {
     char* message = nullptr;
     const std::string text{script};
+    sqlite3_set_authorizer(m_handle.get(), nullptr, nullptr);
     const int code = sqlite3_exec(m_handle.get(), text.c_str(), nullptr, nullptr, &message);
+    if (m_guarded) {
+        refuse_connection_statements();
+    }
     if (code != SQLITE_OK) {
         std::string reason = message != nullptr ? message : sqlite3_errstr(code);
         sqlite3_free(message);
@@ -89,6 +93,28 @@
     return {};
 }
 
+namespace {
+
+int deny_connection_statements(void*, int action, const char*, const char*, const char*, const char*) {
+    switch (action) {
+    case SQLITE_TRANSACTION:
+    case SQLITE_SAVEPOINT:
+    case SQLITE_ATTACH:
+    case SQLITE_DETACH:
+    case SQLITE_PRAGMA:
+        return SQLITE_DENY;
+    default:
+        return SQLITE_OK;
+    }
+}
+
+} // namespace
+
+void sqlite_connection::refuse_connection_statements() {
+    m_guarded = true;
+    sqlite3_set_authorizer(m_handle.get(), deny_connection_statements, nullptr);
+}
+
 result<access> sqlite_connection::classify(std::string_view sql) {
     sqlite3_stmt* raw = nullptr;
     const int code = sqlite3_prepare_v2(m_handle.get(), sql.data(), static_cast<int>(sql.size()), &raw, nullptr);
--- a/src/cornellever/backend/sqlite.hpp
+++ b/src/cornellever/backend/sqlite.hpp
@@ -46,6 +46,11 @@
     /// True while a transaction is open on this connection.
     [[nodiscard]] bool in_transaction() const noexcept;
 
+    /// From now on statements that would change the connection itself
+    /// (BEGIN, COMMIT, SAVEPOINT, ATTACH, PRAGMA) are refused as
+    /// `bad_request`, not run; `exec` stays free to use them.
+    void refuse_connection_statements();
+
 private:
     struct closer {
         void operator()(sqlite3* handle) const noexcept { sqlite3_close_v2(handle); }
@@ -54,6 +59,7 @@
     explicit sqlite_connection(sqlite3* handle) : m_handle{handle} {}
 
     std::unique_ptr<sqlite3, closer> m_handle;
+    bool m_guarded{false};
 };
 
 } // namespace cornellever::backend
--- a/src/cornellever/bench/load.cpp
+++ b/src/cornellever/bench/load.cpp
@@ -22,7 +22,9 @@
             into.latency.record(clock::now() - started);
         } else {
             ++into.failed;
-            if (!link.usable()) {
+            into.cut += answer.error().code == errc::outcome_unknown ? 1 : 0;
+            // A caller goes to another proxy when this one is gone or refuses.
+            if (!link.usable() || answer.error().code == errc::unavailable) {
                 break;
             }
         }
--- a/src/cornellever/bench/load.hpp
+++ b/src/cornellever/bench/load.hpp
@@ -25,6 +25,8 @@
 struct load_figures {
     std::size_t completed{0};
     std::size_t failed{0};
+    /// Failures whose outcome is unknown: the request was sent and its answer cut.
+    std::size_t cut{0};
     std::chrono::nanoseconds elapsed{0};
     std::chrono::microseconds cpu{0};
     std::uint64_t bytes{0};
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -59,8 +59,8 @@
 }
 
 void print_figures(const char* label, const bench::load_figures& figures) {
-    std::printf("%-22s %8zu ok %4zu failed  %9.0f statements/s  p50 %7.0f us  p99 %7.0f us\n", label, figures.completed,
-                figures.failed, figures.per_second(), figures.latency.quantile_us(0.5),
+    std::printf("%-22s %8zu ok %4zu failed %4zu cut  %9.0f statements/s  p50 %7.0f us  p99 %7.0f us\n", label,
+                figures.completed, figures.failed, figures.cut, figures.per_second(), figures.latency.quantile_us(0.5),
                 figures.latency.quantile_us(0.99));
 }
 
--- a/src/cornellever/config/json.cpp
+++ b/src/cornellever/config/json.cpp
@@ -37,6 +37,13 @@
     service out;
     out.name = value["name"].asString();
     out.max_staleness = std::chrono::milliseconds{value.get("max_staleness_ms", 0).asInt64()};
+    out.replica_wait =
+        std::chrono::milliseconds{value.get("replica_wait_ms", Json::Int64{default_replica_wait_ms}).asInt64()};
+    out.transaction_idle =
+        std::chrono::milliseconds{value.get("transaction_idle_ms", Json::Int64{default_transaction_idle_ms}).asInt64()};
+    for (const auto& kind : value["non_repeatable"]) {
+        out.non_repeatable.push_back(kind.asString());
+    }
     for (const auto& item : value["databases"]) {
         auto parsed = database_from_json(item);
         if (!parsed) {
@@ -61,6 +68,12 @@
         Json::Value svc;
         svc["name"] = item.name;
         svc["max_staleness_ms"] = static_cast<Json::Int64>(item.max_staleness.count());
+        svc["replica_wait_ms"] = static_cast<Json::Int64>(item.replica_wait.count());
+        svc["transaction_idle_ms"] = static_cast<Json::Int64>(item.transaction_idle.count());
+        svc["non_repeatable"] = Json::arrayValue;
+        for (const auto& kind : item.non_repeatable) {
+            svc["non_repeatable"].append(kind);
+        }
         svc["databases"] = Json::arrayValue;
         for (const auto& db : item.databases) {
             Json::Value entry;
--- a/src/cornellever/config/load.cpp
+++ b/src/cornellever/config/load.cpp
@@ -15,6 +15,9 @@
 
 constexpr int max_connections = 10'000;
 constexpr std::int64_t max_staleness_limit_ms = 3'600'000;
+constexpr std::int64_t max_replica_wait_ms = 10'000;
+constexpr std::int64_t min_transaction_idle_ms = 100;
+constexpr std::int64_t max_transaction_idle_ms = 3'600'000;
 
 /// The kind and name of a section header such as `service stockbook`.
 struct section_name {
@@ -180,8 +183,20 @@
             if (read_number(item, 0, max_staleness_limit_ms, number)) {
                 pending.value.max_staleness = std::chrono::milliseconds{number};
             }
+        } else if (item.key == "replica_wait_ms") {
+            if (read_number(item, 0, max_replica_wait_ms, number)) {
+                pending.value.replica_wait = std::chrono::milliseconds{number};
+            }
+        } else if (item.key == "transaction_idle_ms") {
+            if (read_number(item, min_transaction_idle_ms, max_transaction_idle_ms, number)) {
+                pending.value.transaction_idle = std::chrono::milliseconds{number};
+            }
+        } else if (item.key == "non_repeatable") {
+            pending.value.non_repeatable = split_list(item.value);
         } else {
-            report(item.where, "unknown key '" + item.key + "' in [service " + name + "]: expected max_staleness_ms");
+            report(item.where, "unknown key '" + item.key + "' in [service " + name +
+                                   "]: expected max_staleness_ms, replica_wait_ms, transaction_idle_ms or "
+                                   "non_repeatable");
         }
     }
 
--- a/src/cornellever/core/asio.cpp
+++ b/src/cornellever/core/asio.cpp
@@ -26,4 +26,10 @@
     return true;
 }
 
+asio::awaitable<void> sleep_for(std::chrono::milliseconds duration) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, duration};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 } // namespace cornellever
--- a/src/cornellever/core/asio.hpp
+++ b/src/cornellever/core/asio.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 // Boost 1.74's awaitable.hpp uses std::exchange without including <utility>.
+#include <chrono>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -13,4 +15,7 @@
 /// Parses "host:port" into an endpoint; no name lookup, addresses are IP numbers.
 [[nodiscard]] bool parse_endpoint(std::string_view text, tcp::endpoint& out);
 
+/// Suspends the calling coroutine for `duration`.
+asio::awaitable<void> sleep_for(std::chrono::milliseconds duration);
+
 } // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/chart.cpp
@@ -0,0 +1,77 @@
+#include "cornellever/core/chart.hpp"
+
+#include "cornellever/ini/reader.hpp"
+
+namespace cornellever {
+
+namespace {
+
+constexpr std::string_view section_prefix = "state ";
+constexpr std::string_view action_key = "do";
+
+} // namespace
+
+result<chart> chart::parse(std::string_view text, std::string_view name) {
+    ini::document document;
+    ini::read_text(text, name, document);
+    auto findings = document.findings;
+    chart out;
+    for (const auto& header : document.sections) {
+        if (!header.section.starts_with(section_prefix)) {
+            findings.push_back({header.where, "[" + header.section + "] is not [state NAME]"});
+        }
+    }
+    for (const auto& item : document.entries) {
+        if (!item.section.starts_with(section_prefix)) {
+            continue;
+        }
+        const auto state_name = item.section.substr(section_prefix.size());
+        if (out.m_start.empty()) {
+            out.m_start = state_name;
+        }
+        auto& target = out.m_states[state_name];
+        if (item.key == action_key) {
+            target.action = item.value;
+        } else {
+            target.on[item.key] = item.value;
+        }
+    }
+    for (const auto& [state_name, item] : out.m_states) {
+        if (item.action.empty()) {
+            findings.push_back({{std::string{name}, 0}, "state " + state_name + " has no action"});
+        }
+    }
+    if (!findings.empty()) {
+        std::string all;
+        for (const auto& item : findings) {
+            all += (all.empty() ? "" : "; ") + ini::to_string(item);
+        }
+        return fail(errc::bad_request, all);
+    }
+    return out;
+}
+
+std::string_view chart::action(std::string_view state) const {
+    const auto found = m_states.find(state);
+    return found == m_states.end() ? std::string_view{} : found->second.action;
+}
+
+result<std::string> chart::next(std::string_view state, std::string_view event) const {
+    const auto found = m_states.find(state);
+    if (found != m_states.end()) {
+        if (const auto to = found->second.on.find(event); to != found->second.on.end()) {
+            return to->second;
+        }
+    }
+    return fail(errc::internal, "the chart has no '" + std::string{event} + "' in state '" + std::string{state} + "'");
+}
+
+std::vector<std::string> chart::actions() const {
+    std::vector<std::string> out;
+    for (const auto& [name, item] : m_states) {
+        out.push_back(item.action);
+    }
+    return out;
+}
+
+} // namespace cornellever
--- a/src/cornellever/core/daemon.hpp
+++ b/src/cornellever/core/daemon.hpp
@@ -9,6 +9,16 @@
 
 namespace cornellever {
 
+/// The event loop of a daemon's thread.
+class event_loop : public asio::io_context {
+public:
+    /// Destroys every coroutine still suspended. Called after `run` returned
+    /// and before the objects those coroutines refer to are destroyed: left
+    /// to the loop's own destructor, they would run their clean-up on objects
+    /// that are gone already.
+    void abandon_pending() { shutdown(); }
+};
+
 /// Calls `on_stop` on the io_context's thread when SIGTERM or SIGINT arrives.
 /// The signal set lives as long as the returned object.
 [[nodiscard]] std::unique_ptr<asio::signal_set> on_stop_signal(asio::io_context& io, std::function<void()> on_stop);
--- a/src/cornellever/core/error.hpp
+++ b/src/cornellever/core/error.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <expected>
 #include <string>
 #include <string_view>
@@ -25,6 +26,8 @@
 struct error {
     errc code{errc::internal};
     std::string message;
+    /// When a caller may usefully ask again; zero when nothing is known.
+    std::chrono::milliseconds retry_after{0};
 };
 
 /// A value or the error that prevented it.
@@ -33,7 +36,13 @@
 
 /// Shorthand for returning an error from a function that yields `result`.
 [[nodiscard]] inline std::unexpected<error> fail(errc code, std::string message) {
-    return std::unexpected<error>{error{code, std::move(message)}};
+    return std::unexpected<error>{error{code, std::move(message), {}}};
+}
+
+/// As `fail`, telling the caller when to come back.
+[[nodiscard]] inline std::unexpected<error> fail_for_now(errc code, std::string message,
+                                                         std::chrono::milliseconds retry_after) {
+    return std::unexpected<error>{error{code, std::move(message), retry_after}};
 }
 
 /// The stable lower-case name of a code, as it appears on the wire and in logs.
--- a/src/cornellever/platform/main.cpp
+++ b/src/cornellever/platform/main.cpp
@@ -22,7 +22,7 @@
         std::fprintf(stderr, "--listen must be IP:PORT\n");
         return 2;
     }
-    asio::io_context io;
+    event_loop io;
     platform::service stand_in{
         io.get_executor(), platform::service_settings{std::chrono::milliseconds{lag.getValue()}, snapshot.getValue()}};
     rpc::server rpc{io.get_executor()};
@@ -39,6 +39,7 @@
         io.stop();
     });
     io.run();
+    io.abandon_pending();
     log_event(event::process_stopped, "role=platform");
     return 0;
 }
--- a/src/cornellever/platform/service.cpp
+++ b/src/cornellever/platform/service.cpp
@@ -40,8 +40,7 @@
 asio::awaitable<result<Json::Value>> service::guarded(params in, rpc::connection& conn, bool writes,
                                                       result<Json::Value> (service::*call)(params)) {
     if (m_faults.slow.count() > 0) {
-        asio::steady_timer wait{m_executor, m_faults.slow};
-        co_await wait.async_wait(asio::use_awaitable);
+        co_await sleep_for(m_faults.slow);
     }
     if (m_faults.down) {
         co_return fail(errc::unavailable, "the platform's table service is down");
@@ -147,14 +146,15 @@
     if (!in["address"].isString() || !parse_vm_state(in["state"].asString(), state)) {
         return fail(errc::bad_request, "vms.set needs address and state (live, leaving or gone)");
     }
-    m_vms.set(in["address"].asString(), state, vm_list::clock::now());
+    m_vms.set(in["address"].asString(), vm{state, in.get("kind", "backend").asString()}, vm_list::clock::now());
     return Json::Value{Json::objectValue};
 }
 
 result<Json::Value> service::vms_list(params) {
     Json::Value out{Json::objectValue};
-    for (const auto& [address, state] : m_vms.view(vm_list::clock::now())) {
-        out[address] = std::string{to_string(state)};
+    for (const auto& [address, item] : m_vms.view(vm_list::clock::now())) {
+        out[address]["state"] = std::string{to_string(item.state)};
+        out[address]["kind"] = item.kind;
     }
     return out;
 }
--- a/src/cornellever/platform/vm_list.cpp
+++ b/src/cornellever/platform/vm_list.cpp
@@ -2,20 +2,20 @@
 
 namespace cornellever::platform {
 
-void vm_list::set(std::string address, vm_state state, clock::time_point now) {
-    m_changes.push_back(change{now, std::move(address), state});
+void vm_list::set(std::string address, vm value, clock::time_point now) {
+    m_changes.push_back(change{now, std::move(address), std::move(value)});
 }
 
-std::map<std::string, vm_state> vm_list::view(clock::time_point now) const {
-    std::map<std::string, vm_state> out;
+std::map<std::string, vm> vm_list::view(clock::time_point now) const {
+    std::map<std::string, vm> out;
     for (const auto& item : m_changes) {
         if (item.at + m_lag > now) {
             break;
         }
-        if (item.state == vm_state::gone) {
+        if (item.value.state == vm_state::gone) {
             out.erase(item.address);
         } else {
-            out[item.address] = item.state;
+            out[item.address] = item.value;
         }
     }
     return out;
--- a/src/cornellever/platform/vm_list.hpp
+++ b/src/cornellever/platform/vm_list.hpp
@@ -11,6 +11,13 @@
 /// What the platform says of a VM.
 enum class vm_state { live, leaving, gone };
 
+/// One VM as the list shows it; `kind` is what runs there ("proxy",
+/// "backend"), as whoever registered it said.
+struct vm {
+    vm_state state{vm_state::live};
+    std::string kind;
+};
+
 /// The platform's list of live and leaving VMs, which lags: a change is
 /// seen by readers only `lag` after it was made.
 class vm_list {
@@ -19,17 +26,17 @@
 
     explicit vm_list(std::chrono::milliseconds lag) : m_lag{lag} {}
 
-    /// Records that the VM at `address` is now in `state`.
-    void set(std::string address, vm_state state, clock::time_point now);
+    /// Records that the VM at `address` is now as `value` says.
+    void set(std::string address, vm value, clock::time_point now);
 
     /// The list as readers see it at `now`: changes older than the lag.
-    [[nodiscard]] std::map<std::string, vm_state> view(clock::time_point now) const;
+    [[nodiscard]] std::map<std::string, vm> view(clock::time_point now) const;
 
 private:
     struct change {
         clock::time_point at;
         std::string address;
-        vm_state state;
+        vm value;
     };
 
     std::chrono::milliseconds m_lag;
--- /dev/null
+++ b/src/cornellever/proxy/answer.cpp
@@ -0,0 +1,46 @@
+#include "cornellever/proxy/answer.hpp"
+
+#include <algorithm>
+
+namespace cornellever::proxy {
+
+Json::Value statement_payload(const execute_request& request) {
+    Json::Value out;
+    out["sql"] = request.sql;
+    out["params"] = request.params;
+    return out;
+}
+
+Json::Value served_by(const instance_view& target) {
+    Json::Value out;
+    out["instance"] = target.key;
+    out["role"] = target.primary ? "primary" : "replica";
+    out["zone"] = target.zone;
+    return out;
+}
+
+Json::Value statement_answer(const Json::Value& backend, const session_token& token, const instance_view& target) {
+    Json::Value out;
+    out["columns"] = backend["columns"];
+    out["rows"] = backend["rows"];
+    out["changes"] = backend["changes"];
+    out["session"] = to_json(token);
+    out["served_by"] = served_by(target);
+    return out;
+}
+
+write_mark mark_from(const Json::Value& backend) {
+    return write_mark{backend["term"].asUInt64(), backend["position"].asUInt64()};
+}
+
+std::chrono::milliseconds time_left(std::chrono::steady_clock::time_point until) {
+    const auto left = until - std::chrono::steady_clock::now();
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(left), std::chrono::milliseconds{1});
+}
+
+bool worth_retrying(const error& refusal) noexcept {
+    const bool passes = refusal.code == errc::fenced || refusal.code == errc::unavailable || refusal.code == errc::busy;
+    return passes && refusal.retry_after.count() == 0;
+}
+
+} // namespace cornellever::proxy
--- /dev/null
+++ b/src/cornellever/proxy/charts.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string_view>
+
+namespace cornellever::proxy::charts {
+
+/// The text of charts/failover.ini, compiled into the binary: entry VMs
+/// have no disk to read it from.
+extern const std::string_view failover;
+
+/// The text of charts/drain.ini.
+extern const std::string_view drain;
+
+} // namespace cornellever::proxy::charts
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -1,20 +1,18 @@
 #include "cornellever/proxy/control.hpp"
 
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
 #include "cornellever/config/json.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/proxy/suspicion.hpp"
 #include "cornellever/rpc/channel.hpp"
 
 namespace cornellever::proxy {
 
 namespace {
 
-asio::awaitable<void> sleep_for(std::chrono::milliseconds duration) {
-    asio::steady_timer timer{co_await asio::this_coro::executor, duration};
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 heartbeat beat_from(const std::string& key, const result<Json::Value>& status) {
     heartbeat out;
     out.key = key;
@@ -26,83 +24,123 @@
     out.term = (*status)["term"].asUInt64();
     out.position = (*status)["position"].asUInt64();
     out.staleness_ms = (*status)["staleness_ms"].asInt64();
+    out.heard_ms = (*status)["heard_ms"].asInt64();
     return out;
 }
 
+/// A call on a kept connection that is replaced once it is in doubt.
+asio::awaitable<result<Json::Value>> call_over(std::unique_ptr<rpc::channel>& link, std::string_view method,
+                                               const Json::Value& params, std::chrono::milliseconds deadline) {
+    auto answer = co_await link->call(method, params, deadline);
+    if (!link->usable()) {
+        link = std::make_unique<rpc::channel>(co_await asio::this_coro::executor, link->peer());
+    }
+    co_return answer;
+}
+
 } // namespace
 
 control::control(asio::any_io_executor own, asio::any_io_executor traffic, router& traffic_router,
-                 tcp::endpoint platform, control_limits limits)
+                 tcp::endpoint platform, std::string name, const chart& failover_steps, control_limits limits)
     : m_own{std::move(own)}
     , m_traffic{std::move(traffic)}
     , m_router{traffic_router}
     , m_platform{std::move(platform)}
-    , m_limits{limits} {}
+    , m_limits{limits}
+    , m_store{m_own, m_platform, limits.call_deadline}
+    , m_group{m_own}
+    , m_failover{m_store, m_group, failover_steps, std::move(name), to_string(boost::uuids::random_generator{}())} {}
 
 void control::start() {
     asio::co_spawn(m_own, follow_config(), asio::detached);
+    asio::co_spawn(m_own, follow_machines(), asio::detached);
+    asio::co_spawn(m_own, watch_primaries(), asio::detached);
 }
 
 asio::awaitable<void> control::follow_config() {
     auto link = std::make_unique<rpc::channel>(m_own, m_platform);
+    Json::Value params;
+    params["key"] = std::string{config_row};
     for (;;) {
-        Json::Value params;
-        params["key"] = std::string{config_row};
-        auto row = co_await link->call("table.get", params, m_limits.call_deadline);
-        if (!link->usable()) {
-            link = std::make_unique<rpc::channel>(m_own, m_platform);
-        }
-        if (!row) {
+        auto row = co_await call_over(link, "table.get", params, m_limits.call_deadline);
+        if (row) {
+            m_platform_failing = false;
+            take(*row);
+        } else {
             // The platform down or slow: the last good configuration stays in force.
             if (!m_platform_failing) {
-                log_event(event::config_fetch_failed,
-                          "reason=\"" + row.error().message + "\" version_in_force=" + std::to_string(m_version));
+                log_event(event::config_fetch_failed, "reason=\"" + row.error().message +
+                                                          "\" version_in_force=" + std::to_string(m_config.version));
             }
             m_platform_failing = true;
-        } else {
-            m_platform_failing = false;
-            const auto version = (*row)["version"].asUInt64();
-            if (version > m_version) {
-                auto parsed = config::from_json((*row)["value"]);
-                if (parsed) {
-                    parsed->version = version;
-                    take(std::move(*parsed));
-                } else {
-                    log_event(event::config_refused,
-                              "version=" + std::to_string(version) + " reason=\"" + parsed.error().message + "\"");
-                }
-            }
         }
         co_await sleep_for(m_limits.config_poll);
     }
 }
 
+void control::take(const Json::Value& row) {
+    const auto version = row["version"].asUInt64();
+    // A platform restored from an old snapshot, or an answer that was held
+    // up, may show a lower version: a configuration in force never reverts.
+    if (version <= m_config.version) {
+        return;
+    }
+    auto parsed = config::from_json(row["value"]);
+    if (!parsed) {
+        log_event(event::config_refused,
+                  "version=" + std::to_string(version) + " reason=\"" + parsed.error().message + "\"");
+        return;
+    }
+    parsed->version = version;
+    take(std::move(*parsed));
+}
+
 void control::take(config::cluster config) {
-    m_version = config.version;
+    m_config = std::move(config);
+    m_topology.reset(m_config);
     ++m_generation;
-    std::size_t instances = 0;
-    for (const auto& svc : config.services) {
-        for (const auto& db : svc.databases) {
-            for (const auto& inst : db.instances) {
-                tcp::endpoint address;
-                (void)parse_endpoint(inst.address, address);
-                const auto key = database_key(svc.name, db.name) + "/" + inst.name;
-                auto& slot = m_probes[key];
-                const bool fresh = slot.second == 0 || slot.first != address;
-                slot = {address, fresh ? m_generation : slot.second};
-                if (fresh) {
-                    asio::co_spawn(m_own, probe(key, address, m_generation), asio::detached);
-                }
-                ++instances;
-            }
+    for (const auto& [key, view] : m_topology.instances()) {
+        auto& slot = m_probes[key];
+        if (slot.second == 0 || slot.first != view.address) {
+            slot = {view.address, m_generation};
+            asio::co_spawn(m_own, probe(key, view.address, m_generation), asio::detached);
+        }
+    }
+    std::erase_if(m_probes, [&](const auto& item) { return !m_topology.instances().contains(item.first); });
+    log_event(event::config_loaded, "version=" + std::to_string(m_config.version) +
+                                        " instances=" + std::to_string(m_topology.instances().size()));
+    asio::post(m_traffic, [&target = m_router, next = m_config]() mutable { target.update(std::move(next)); });
+}
+
+asio::awaitable<void> control::follow_machines() {
+    auto link = std::make_unique<rpc::channel>(m_own, m_platform);
+    for (;;) {
+        auto list = co_await call_over(link, "vms.list", Json::Value{Json::objectValue}, m_limits.call_deadline);
+        if (list) {
+            take_machines(*list);
         }
+        co_await sleep_for(m_limits.machines_poll);
     }
-    std::erase_if(m_probes, [&](const auto& item) {
-        const auto& [key, slot] = item;
-        return config::find_service(config, key.substr(0, key.find('/'))) == nullptr;
-    });
-    log_event(event::config_loaded, "version=" + std::to_string(m_version) + " instances=" + std::to_string(instances));
-    asio::post(m_traffic, [&target = m_router, next = std::move(config)]() mutable { target.update(std::move(next)); });
+}
+
+void control::take_machines(const Json::Value& list) {
+    std::set<std::string, std::less<>> leaving;
+    std::size_t proxies = 0;
+    for (const auto& address : list.getMemberNames()) {
+        const auto& item = list[address];
+        if (item["state"] == "leaving") {
+            leaving.insert(address);
+        }
+        proxies += item["kind"] == "proxy" && item["state"] == "live" ? 1 : 0;
+    }
+    m_topology.set_leaving(leaving, std::chrono::steady_clock::now());
+    asio::post(m_traffic,
+               [&target = m_router, leaving = std::move(leaving), proxies] { target.set_machines(leaving, proxies); });
+}
+
+void control::learn(const heartbeat& beat) {
+    m_topology.record(beat, std::chrono::steady_clock::now());
+    asio::post(m_traffic, [&target = m_router, beat] { target.record(beat); });
 }
 
 asio::awaitable<void> control::probe(std::string key, tcp::endpoint address, std::uint64_t generation) {
@@ -113,17 +151,62 @@
         if (found == m_probes.end() || found->second.second != generation) {
             co_return;
         }
-        auto status = co_await link->call("status", Json::Value{Json::objectValue}, m_limits.call_deadline);
-        if (!link->usable()) {
-            link = std::make_unique<rpc::channel>(m_own, address);
-        }
+        auto status = co_await call_over(link, "status", Json::Value{Json::objectValue}, m_limits.call_deadline);
         if (status.has_value() != was_up) {
             log_event(status ? event::instance_up : event::instance_down, "instance=" + key);
             was_up = status.has_value();
         }
-        asio::post(m_traffic, [&target = m_router, beat = beat_from(key, status)] { target.record(beat); });
+        learn(beat_from(key, status));
         co_await sleep_for(m_limits.heartbeat);
     }
 }
 
+asio::awaitable<void> control::watch_primaries() {
+    for (;;) {
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto& svc : m_config.services) {
+            for (const auto& db : svc.databases) {
+                const auto found = judge(m_topology.members(svc.name, db.name), now);
+                const bool act = found != verdict::keep;
+                if (act && m_replacing.insert(database_key(svc.name, db.name)).second) {
+                    asio::co_spawn(m_own, replace_primary(svc.name, db.name, found == verdict::leaving),
+                                   asio::detached);
+                }
+            }
+        }
+        co_await sleep_for(m_limits.judge_every);
+    }
+}
+
+asio::awaitable<void> control::replace_primary(std::string service, std::string database, bool planned) {
+    const auto key = database_key(service, database);
+    std::vector<group_member> members;
+    std::optional<group_member> old;
+    std::uint64_t term = 0;
+    for (const auto* item : m_topology.members(service, database)) {
+        members.push_back(group_member{item->key, item->address, item->leaving_since.has_value()});
+        term = std::max(term, item->term);
+        if (planned && item->primary && item->leaving_since) {
+            old = members.back();
+        }
+    }
+    log_event(event::failover_started,
+              "database=" + key + " known_term=" + std::to_string(term) + " planned=" + (planned ? "yes" : "no"));
+    const auto outcome = co_await m_failover.run(key, std::move(members), old, term);
+    if (outcome.promoted()) {
+        log_event(event::failover_done, "database=" + key + " primary=" + outcome.primary +
+                                            " term=" + std::to_string(outcome.term) + " record=" + outcome.event);
+        heartbeat beat;
+        beat.key = outcome.primary;
+        beat.answered = true;
+        beat.primary = true;
+        beat.term = outcome.term;
+        learn(beat);
+    } else {
+        log_event(event::failover_given_up,
+                  "database=" + key + " term=" + std::to_string(outcome.term) + " reason=" + outcome.event);
+    }
+    m_replacing.erase(key);
+}
+
 } // namespace cornellever::proxy
--- a/src/cornellever/proxy/control.hpp
+++ b/src/cornellever/proxy/control.hpp
@@ -3,11 +3,18 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 
 #include "cornellever/config/model.hpp"
 #include "cornellever/core/asio.hpp"
+#include "cornellever/core/chart.hpp"
+#include "cornellever/proxy/backend_group.hpp"
+#include "cornellever/proxy/failover.hpp"
+#include "cornellever/proxy/platform_store.hpp"
 #include "cornellever/proxy/router.hpp"
+#include "cornellever/proxy/topology.hpp"
 
 namespace cornellever::proxy {
 
@@ -17,34 +24,48 @@
 /// Periods and deadlines of the control path.
 struct control_limits {
     std::chrono::milliseconds config_poll{500};
+    std::chrono::milliseconds machines_poll{1000};
     std::chrono::milliseconds heartbeat{200};
+    std::chrono::milliseconds judge_every{100};
     std::chrono::milliseconds call_deadline{400};
 };
 
 /// The control side of a proxy, on its own thread: follows the applied
-/// configuration's version in the platform table and heartbeats every
-/// instance, handing both to the router on the traffic thread.
+/// configuration and the list of machines in the platform, heartbeats every
+/// instance, replaces primaries that are lost or leaving, and hands what it
+/// learns to the router on the traffic thread.
 class control {
 public:
     control(asio::any_io_executor own, asio::any_io_executor traffic, router& traffic_router, tcp::endpoint platform,
-            control_limits limits);
+            std::string name, const chart& failover_steps, control_limits limits);
 
-    /// Starts following the configuration.
+    /// Starts every loop.
     void start();
 
 private:
     asio::awaitable<void> follow_config();
+    asio::awaitable<void> follow_machines();
     asio::awaitable<void> probe(std::string key, tcp::endpoint address, std::uint64_t generation);
+    asio::awaitable<void> watch_primaries();
+    asio::awaitable<void> replace_primary(std::string service, std::string database, bool planned);
+    void take(const Json::Value& row);
     void take(config::cluster config);
+    void take_machines(const Json::Value& list);
+    void learn(const heartbeat& beat);
 
     asio::any_io_executor m_own;
     asio::any_io_executor m_traffic;
     router& m_router;
     tcp::endpoint m_platform;
     control_limits m_limits;
-    std::uint64_t m_version{0};
+    platform_store m_store;
+    backend_group m_group;
+    failover<platform_store, backend_group> m_failover;
+    config::cluster m_config;
+    topology m_topology;
     bool m_platform_failing{false};
     std::map<std::string, std::pair<tcp::endpoint, std::uint64_t>> m_probes;
+    std::set<std::string> m_replacing;
     std::uint64_t m_generation{0};
 };
 
--- a/src/cornellever/proxy/fwd.hpp
+++ b/src/cornellever/proxy/fwd.hpp
@@ -3,9 +3,23 @@
 namespace cornellever::proxy {
 
 struct session_token;
+struct write_mark;
+struct group_record;
+struct heartbeat;
+struct instance_view;
 class pool;
+class pooled_connection;
 class topology;
+class confirmer;
+class backend_links;
+class request_record;
+class read_path;
+class write_path;
+class transaction_table;
 class router;
-struct settings;
+class control;
+class planned_stop;
+class platform_store;
+class backend_group;
 
 } // namespace cornellever::proxy
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <thread>
 
 #include <tclap/CmdLine.h>
@@ -5,16 +6,15 @@
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
 #include "cornellever/ini/reader.hpp"
+#include "cornellever/proxy/charts.hpp"
 #include "cornellever/proxy/control.hpp"
+#include "cornellever/proxy/planned_stop.hpp"
 #include "cornellever/proxy/router.hpp"
 
 namespace cornellever {
 
 namespace {
 
-/// How long a planned stop waits for requests and transactions in flight.
-constexpr auto drain_deadline = std::chrono::seconds{10};
-constexpr auto drain_poll = std::chrono::milliseconds{20};
 constexpr auto sweep_period = std::chrono::seconds{1};
 
 /// A proxy's own settings: where it listens, its zone, the platform.
@@ -53,28 +53,22 @@
     return findings.empty();
 }
 
-void drain_then_stop(asio::steady_timer& timer, rpc::server& rpc, proxy::router& traffic,
-                     std::chrono::steady_clock::time_point until, asio::io_context& io, asio::io_context& control_io) {
-    if ((rpc.in_flight() == 0 && traffic.open_transactions() == 0) || std::chrono::steady_clock::now() > until) {
-        log_event(event::process_stopped, "role=proxy in_flight=" + std::to_string(rpc.in_flight()) +
-                                              " transactions=" + std::to_string(traffic.open_transactions()));
-        control_io.stop();
-        io.stop();
-        return;
+asio::awaitable<void> sweep(proxy::router& traffic) {
+    for (;;) {
+        co_await sleep_for(sweep_period);
+        traffic.sweep_abandoned();
     }
-    timer.expires_after(drain_poll);
-    timer.async_wait(
-        [&, until](const boost::system::error_code&) { drain_then_stop(timer, rpc, traffic, until, io, control_io); });
 }
 
-void sweep(asio::steady_timer& timer, proxy::router& traffic) {
-    timer.expires_after(sweep_period);
-    timer.async_wait([&](const boost::system::error_code& ec) {
-        if (!ec) {
-            traffic.sweep_abandoned();
-            sweep(timer, traffic);
-        }
-    });
+/// The chart in `text`; the process cannot run without it, and a test
+/// parses every chart that is compiled in.
+chart load_chart(std::string_view text, std::string_view name) {
+    auto parsed = chart::parse(text, name);
+    if (!parsed) {
+        std::fprintf(stderr, "chart %s: %s\n", std::string{name}.c_str(), parsed.error().message.c_str());
+        std::exit(1);
+    }
+    return std::move(*parsed);
 }
 
 } // namespace
@@ -111,9 +105,11 @@
     if (settings.name.empty()) {
         settings.name = "proxy-" + std::to_string(listen_at.port());
     }
-    asio::io_context io;
-    asio::io_context control_io;
-    proxy::router traffic{io.get_executor(), settings.name, settings.zone, proxy::traffic_limits{}};
+    const auto failover_steps = load_chart(proxy::charts::failover, "failover.ini");
+    const auto drain_steps = load_chart(proxy::charts::drain, "drain.ini");
+    event_loop io;
+    event_loop control_io;
+    proxy::router traffic{io.get_executor(), settings.name, settings.zone};
     rpc::server rpc{io.get_executor()};
     traffic.bind(rpc);
     auto bound = rpc.listen(listen_at);
@@ -122,15 +118,20 @@
         return 1;
     }
     rpc.start();
-    proxy::control watcher{control_io.get_executor(), io.get_executor(), traffic, platform_at, proxy::control_limits{}};
+    proxy::control watcher{
+        control_io.get_executor(), io.get_executor(), traffic, platform_at, settings.name, failover_steps,
+        proxy::control_limits{}};
     watcher.start();
-    asio::steady_timer sweeper{io};
-    sweep(sweeper, traffic);
-    asio::steady_timer drainer{io};
+    asio::co_spawn(io, sweep(traffic), asio::detached);
+    proxy::planned_stop stop{rpc, traffic, drain_steps};
     auto signals = on_stop_signal(io, [&] {
         log_event(event::process_stopping, "role=proxy in_flight=" + std::to_string(rpc.in_flight()));
-        rpc.stop_accepting();
-        drain_then_stop(drainer, rpc, traffic, std::chrono::steady_clock::now() + drain_deadline, io, control_io);
+        asio::co_spawn(io, stop.run(), [&](std::exception_ptr) {
+            log_event(event::process_stopped, "role=proxy in_flight=" + std::to_string(rpc.in_flight()) +
+                                                  " transactions=" + std::to_string(traffic.open_transactions()));
+            control_io.stop();
+            io.stop();
+        });
     });
     log_event(event::process_started, "role=proxy name=" + settings.name + " listen=" + to_string(*bound) +
                                           " zone=" + settings.zone + " platform=" + to_string(platform_at));
@@ -139,6 +140,8 @@
     io.run();
     control_io.stop();
     control_thread.join();
+    control_io.abandon_pending();
+    io.abandon_pending();
     return 0;
 }
 
--- /dev/null
+++ b/src/cornellever/proxy/platform_store.cpp
@@ -0,0 +1,48 @@
+#include "cornellever/proxy/platform_store.hpp"
+
+namespace cornellever::proxy {
+
+platform_store::platform_store(asio::any_io_executor executor, tcp::endpoint platform,
+                               std::chrono::milliseconds deadline)
+    : m_executor{std::move(executor)}
+    , m_platform{std::move(platform)}
+    , m_deadline{deadline} {}
+
+asio::awaitable<result<Json::Value>> platform_store::call(std::string_view method, Json::Value params) {
+    // Failovers are rare: a fresh connection each time can never be one that
+    // went silent since the last.
+    rpc::channel link{m_executor, m_platform};
+    co_return co_await link.call(method, params, m_deadline);
+}
+
+asio::awaitable<result<versioned_record>> platform_store::read(std::string_view database) {
+    Json::Value params;
+    params["key"] = group_row(database);
+    auto row = co_await call("table.get", params);
+    if (!row && row.error().code == errc::not_found) {
+        co_return versioned_record{};
+    }
+    if (!row) {
+        co_return std::unexpected{row.error()};
+    }
+    auto record = group_record_from_json((*row)["value"]);
+    if (!record) {
+        co_return std::unexpected{record.error()};
+    }
+    co_return versioned_record{std::move(*record), (*row)["version"].asUInt64()};
+}
+
+asio::awaitable<result<std::uint64_t>> platform_store::write(std::string_view database, const group_record& record,
+                                                             std::uint64_t expected) {
+    Json::Value params;
+    params["key"] = group_row(database);
+    params["value"] = to_json(record);
+    params["expected_version"] = static_cast<Json::UInt64>(expected);
+    auto written = co_await call("table.put", params);
+    if (!written) {
+        co_return std::unexpected{written.error()};
+    }
+    co_return (*written)["version"].asUInt64();
+}
+
+} // namespace cornellever::proxy
--- /dev/null
+++ b/src/cornellever/proxy/platform_store.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/proxy/failover.hpp"
+#include "cornellever/proxy/group_record.hpp"
+#include "cornellever/rpc/channel.hpp"
+
+namespace cornellever::proxy {
+
+/// The platform's table over RPC, as a `record_store`.
+class platform_store {
+public:
+    platform_store(asio::any_io_executor executor, tcp::endpoint platform, std::chrono::milliseconds deadline);
+
+    /// See `record_store`. Errors: `unavailable`, `outcome_unknown`.
+    asio::awaitable<result<versioned_record>> read(std::string_view database);
+
+    /// See `record_store`. Errors: also `conflict`.
+    asio::awaitable<result<std::uint64_t>> write(std::string_view database, const group_record& record,
+                                                 std::uint64_t expected);
+
+private:
+    asio::awaitable<result<Json::Value>> call(std::string_view method, Json::Value params);
+
+    asio::any_io_executor m_executor;
+    tcp::endpoint m_platform;
+    std::chrono::milliseconds m_deadline;
+};
+
+} // namespace cornellever::proxy
--- a/src/cornellever/proxy/pool.cpp
+++ b/src/cornellever/proxy/pool.cpp
@@ -7,6 +7,12 @@
 
 namespace cornellever::proxy {
 
+namespace {
+
+constexpr auto queue_retry_after = std::chrono::milliseconds{500};
+
+} // namespace
+
 pool::pool(asio::any_io_executor executor, tcp::endpoint peer, std::size_t budget, std::size_t max_waiters)
     : m_executor{std::move(executor)}
     , m_peer{std::move(peer)}
@@ -14,9 +20,7 @@
     , m_max_waiters{max_waiters} {}
 
 asio::awaitable<result<pool::lease>> pool::acquire(std::chrono::milliseconds wait) {
-    if (!m_idle.empty()) {
-        auto connection = std::move(m_idle.back());
-        m_idle.pop_back();
+    if (auto connection = take_idle()) {
         co_return connection;
     }
     if (m_open < m_budget) {
@@ -26,8 +30,10 @@
     if (m_waiters.size() >= m_max_waiters) {
         log_event(event::pool_exhausted,
                   "instance=" + to_string(m_peer) + " waiters=" + std::to_string(m_waiters.size()));
-        co_return fail(errc::busy, "all " + std::to_string(m_budget) + " connections to " + to_string(m_peer) +
-                                       " are in use and the queue is full");
+        co_return fail_for_now(errc::busy,
+                               "all " + std::to_string(m_budget) + " connections to " + to_string(m_peer) +
+                                   " are in use and the queue is full",
+                               queue_retry_after);
     }
     waiter me{asio::steady_timer{m_executor, wait}, std::nullopt};
     m_waiters.push_back(&me);
@@ -41,8 +47,48 @@
                                    std::to_string(wait.count()) + " ms");
 }
 
+pool::lease pool::take_idle() {
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.back());
+        m_idle.pop_back();
+        // The backend may have closed it meanwhile (a restart, its own idle
+        // limit). A request sent on it would end as "outcome unknown".
+        if (!connection->stale()) {
+            return connection;
+        }
+        connection->close();
+        --m_open;
+    }
+    return nullptr;
+}
+
+void pool::suspect_idle() {
+    log_event(event::connections_suspect,
+              "instance=" + to_string(m_peer) + " idle_closed=" + std::to_string(m_idle.size()));
+    m_open -= m_idle.size();
+    m_idle.clear();
+    hand_over();
+}
+
+void pool::resize(std::size_t budget) {
+    m_budget = budget;
+    while (m_open > m_budget && !m_idle.empty()) {
+        m_idle.pop_back();
+        --m_open;
+    }
+    hand_over();
+}
+
+void pool::retire(bool retired) {
+    m_retired = retired;
+    if (retired) {
+        m_open -= m_idle.size();
+        m_idle.clear();
+    }
+}
+
 void pool::release(lease connection) {
-    if (!connection->usable() || m_open > m_budget) {
+    if (!connection->usable() || m_open > m_budget || m_retired) {
         // A connection whose last call failed may still carry that call's
         // transaction on the backend; closing it makes the backend roll back.
         if (!connection->usable()) {
@@ -65,15 +111,13 @@
 
 void pool::hand_over() {
     while (!m_waiters.empty()) {
-        lease next;
-        if (!m_idle.empty()) {
-            next = std::move(m_idle.back());
-            m_idle.pop_back();
-        } else if (m_open < m_budget) {
+        auto next = take_idle();
+        if (!next && m_open >= m_budget) {
+            return;
+        }
+        if (!next) {
             ++m_open;
             next = std::make_unique<rpc::channel>(m_executor, m_peer);
-        } else {
-            return;
         }
         auto* first = m_waiters.front();
         m_waiters.pop_front();
--- a/src/cornellever/proxy/pool.hpp
+++ b/src/cornellever/proxy/pool.hpp
@@ -30,7 +30,8 @@
          std::size_t max_waiters = default_max_waiters);
 
     /// A connection for one caller, waiting at most `wait`.
-    /// Errors: `busy` when none came free in time or the queue is full.
+    /// Errors: `busy` when none came free in time, or at once, saying when to
+    /// come back, when the queue is full.
     asio::awaitable<result<lease>> acquire(std::chrono::milliseconds wait);
 
     /// Gives a connection back; one left in doubt by a failed call is closed.
@@ -40,8 +41,18 @@
     /// an abandoned transaction: the backend rolls back what it held.
     void discard(lease connection);
 
+    /// Closes every idle connection. Called when a call timed out: whatever
+    /// lost track of that connection (a middlebox, a half-dead machine) has
+    /// likely lost the idle ones too, and each would cost another caller a
+    /// whole deadline to find out.
+    void suspect_idle();
+
     /// Sets a new budget; connections over it close as they come back.
-    void resize(std::size_t budget) { m_budget = budget; }
+    void resize(std::size_t budget);
+
+    /// Closes idle connections and keeps none from now on: the instance is
+    /// leaving and its connections are to end with the work under way.
+    void retire(bool retired);
 
     /// Open, idle and waiting counts, for the state dump.
     [[nodiscard]] Json::Value describe() const;
@@ -52,6 +63,7 @@
         std::optional<lease> granted;
     };
 
+    [[nodiscard]] lease take_idle();
     void hand_over();
 
     asio::any_io_executor m_executor;
@@ -59,6 +71,7 @@
     std::size_t m_budget;
     std::size_t m_max_waiters;
     std::size_t m_open{0};
+    bool m_retired{false};
     std::vector<lease> m_idle;
     std::deque<waiter*> m_waiters;
 };
--- a/src/cornellever/proxy/request.cpp
+++ b/src/cornellever/proxy/request.cpp
@@ -2,8 +2,66 @@
 
 namespace cornellever::proxy {
 
-result<execute_request> decode_execute(const Json::Value& in) {
-    execute_request out;
+namespace {
+
+constexpr std::size_t max_name_bytes = 200;
+constexpr std::int64_t max_deadline_ms = 60'000;
+
+/// Reads an optional string field of bounded length into `out`.
+result<void> read_name(const Json::Value& in, const char* field, std::string& out) {
+    if (!in.isMember(field)) {
+        return {};
+    }
+    if (!in[field].isString()) {
+        return fail(errc::bad_request, std::string{field} + " must be a string");
+    }
+    out = in[field].asString();
+    if (out.size() > max_name_bytes) {
+        return fail(errc::bad_request, std::string{field} + " is longer than " + std::to_string(max_name_bytes));
+    }
+    return {};
+}
+
+result<void> read_deadline(const Json::Value& in, std::chrono::milliseconds& out) {
+    if (!in.isMember("deadline_ms")) {
+        return {};
+    }
+    const auto& value = in["deadline_ms"];
+    if (!value.isInt64() || value.asInt64() < 1 || value.asInt64() > max_deadline_ms) {
+        return fail(errc::bad_request,
+                    "deadline_ms must be a whole number from 1 to " + std::to_string(max_deadline_ms));
+    }
+    out = std::chrono::milliseconds{value.asInt64()};
+    return {};
+}
+
+result<void> read_session(const Json::Value& in, session_token& out) {
+    auto token = token_from_json(in["session"]);
+    if (!token) {
+        return std::unexpected{token.error()};
+    }
+    out = std::move(*token);
+    return {};
+}
+
+/// Runs the steps in order until one fails.
+template <typename... Steps>
+result<void> in_order(Steps... steps) {
+    result<void> out;
+    (void)((out = steps()).has_value() && ...);
+    return out;
+}
+
+/// What `execute` and `begin` share: where the request goes and its terms.
+template <typename Request>
+result<void> read_addressing(const Json::Value& in, Request& out) {
+    return in_order(
+        [&] { return read_name(in, "service", out.service); }, [&] { return read_name(in, "database", out.database); },
+        [&] { return read_name(in, "kind", out.kind); }, [&] { return read_name(in, "request_id", out.request_id); },
+        [&] { return read_deadline(in, out.deadline); }, [&] { return read_session(in, out.session); });
+}
+
+result<void> read_statement(const Json::Value& in, execute_request& out) {
     if (!in["sql"].isString()) {
         return fail(errc::bad_request, "execute needs sql (a string)");
     }
@@ -14,22 +72,53 @@
     if (in.isMember("params")) {
         out.params = in["params"];
     }
-    const auto mode = in.get("mode", "write").asString();
+    std::string mode = "write";
+    if (auto named = read_name(in, "mode", mode); !named) {
+        return named;
+    }
     if (mode != "read" && mode != "write") {
         return fail(errc::bad_request, "mode must be read or write, not '" + mode + "'");
     }
     out.mode = mode == "read" ? intent::read : intent::write;
-    out.transaction = in.get("transaction", "").asString();
-    if (out.transaction.empty() && (!in["service"].isString() || !in["database"].isString())) {
+    return read_name(in, "transaction", out.transaction);
+}
+
+} // namespace
+
+result<execute_request> decode_execute(const Json::Value& in) {
+    execute_request out;
+    auto read = in_order([&] { return read_statement(in, out); }, [&] { return read_addressing(in, out); });
+    if (!read) {
+        return std::unexpected{read.error()};
+    }
+    if (out.transaction.empty() && (out.service.empty() || out.database.empty())) {
         return fail(errc::bad_request, "execute needs service and database, or a transaction");
     }
-    out.service = in.get("service", "").asString();
-    out.database = in.get("database", "").asString();
-    auto token = token_from_json(in["session"]);
-    if (!token) {
-        return std::unexpected{token.error()};
+    return out;
+}
+
+result<begin_request> decode_begin(const Json::Value& in) {
+    begin_request out;
+    auto read = read_addressing(in, out);
+    if (!read) {
+        return std::unexpected{read.error()};
+    }
+    if (out.service.empty() || out.database.empty()) {
+        return fail(errc::bad_request, "begin needs service and database");
+    }
+    return out;
+}
+
+result<finish_request> decode_finish(const Json::Value& in) {
+    finish_request out;
+    auto read = in_order([&] { return read_name(in, "transaction", out.transaction); },
+                         [&] { return read_session(in, out.session); });
+    if (!read) {
+        return std::unexpected{read.error()};
+    }
+    if (out.transaction.empty()) {
+        return fail(errc::bad_request, "transaction must name the open transaction");
     }
-    out.session = std::move(*token);
     return out;
 }
 
--- a/src/cornellever/proxy/router.hpp
+++ b/src/cornellever/proxy/router.hpp
@@ -1,93 +1,74 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
-#include <map>
-#include <memory>
-#include <optional>
+#include <set>
 #include <string>
 
 #include <jsoncpp/json/value.h>
 
 #include "cornellever/config/model.hpp"
-#include "cornellever/core/asio.hpp"
 #include "cornellever/metrics/latency.hpp"
-#include "cornellever/proxy/pool.hpp"
-#include "cornellever/proxy/request.hpp"
-#include "cornellever/proxy/topology.hpp"
+#include "cornellever/proxy/answer.hpp"
+#include "cornellever/proxy/backend_links.hpp"
+#include "cornellever/proxy/read_path.hpp"
+#include "cornellever/proxy/transaction_table.hpp"
+#include "cornellever/proxy/write_path.hpp"
 #include "cornellever/rpc/server.hpp"
 
 namespace cornellever::proxy {
 
-/// Deadlines and waits of the traffic path.
-struct traffic_limits {
-    std::chrono::milliseconds call_deadline{5000};
-    std::chrono::milliseconds pool_wait{1000};
-    std::chrono::milliseconds replica_pool_wait{20};
-    std::chrono::milliseconds transaction_idle{30000};
-};
-
-/// The traffic side of a proxy: routes callers' statements to primaries and
-/// replicas, pins transactions to one pooled connection, and keeps the
-/// session token. Owned by, and used from, the traffic thread only.
+/// The traffic side of a proxy: decodes callers' requests, checks them
+/// against the configuration in force and hands them to the read path, the
+/// write path or the open transactions. Used from the traffic thread only.
 class router {
 public:
-    router(asio::any_io_executor executor, std::string name, std::string zone, traffic_limits limits);
+    using clock = std::chrono::steady_clock;
+
+    router(asio::any_io_executor executor, std::string name, std::string zone, link_limits limits = {});
 
-    /// Registers `execute`, `begin`, `commit`, `rollback` and `dump`.
+    /// Registers `execute`, `begin`, `commit`, `rollback`, `ready` and `dump`.
     void bind(rpc::server& rpc);
 
     /// Takes a newer configuration; an older or equal version is ignored.
     void update(config::cluster config);
 
     /// Takes a heartbeat result from the control thread.
-    void record(const heartbeat& beat);
+    void record(const heartbeat& beat) { m_links.record(beat); }
+
+    /// Takes the platform's list of machines from the control thread.
+    void set_machines(const std::set<std::string, std::less<>>& leaving, std::size_t proxies) {
+        m_links.set_machines(leaving, proxies);
+    }
+
+    /// From now on new transactions are refused as not run.
+    void drain() { m_draining = true; }
 
     /// Rolls back transactions whose caller has been silent too long.
-    void sweep_abandoned();
+    void sweep_abandoned() { m_transactions.sweep(); }
 
     /// Open transactions, for a planned stop.
-    [[nodiscard]] std::size_t open_transactions() const noexcept { return m_transactions.size(); }
+    [[nodiscard]] std::size_t open_transactions() const noexcept { return m_transactions.open(); }
 
     /// The proxy's state for `dump`.
     [[nodiscard]] Json::Value describe() const;
 
 private:
-    using params = const Json::Value&;
-    using answer = asio::awaitable<result<Json::Value>>;
-
-    struct pinned {
-        std::string database;
-        std::string instance;
-        pool::lease connection;
-        std::chrono::steady_clock::time_point last_used;
-        bool busy{false};
-    };
-
-    answer execute(params in, rpc::connection& conn);
-    answer begin(params in, rpc::connection& conn);
-    answer finish(params in, bool commit);
-    answer in_transaction(const execute_request& request);
-    answer read(const execute_request& request);
-    answer on_primary(const execute_request& request);
-    answer call(const instance_view& target, std::string_view method, const Json::Value& payload,
-                std::chrono::milliseconds pool_wait);
-    [[nodiscard]] result<const config::service*> service_of(std::string_view name) const;
-    [[nodiscard]] pool& pool_of(const instance_view& target);
-    [[nodiscard]] static Json::Value statement_payload(const execute_request& request);
-
-    asio::any_io_executor m_executor;
+    answer execute(const Json::Value& in);
+    answer begin(const Json::Value& in);
+    answer finish(const Json::Value& in, bool commit);
+    answer ready();
+    answer dispatch(const config::service& service, const execute_request& request, clock::time_point until);
+    [[nodiscard]] result<const config::service*> service_for(const std::string& service,
+                                                             const std::string& database) const;
+
     std::string m_name;
     std::string m_zone;
-    traffic_limits m_limits;
     config::cluster m_config;
-    topology m_topology;
-    std::map<std::string, std::unique_ptr<pool>, std::less<>> m_pools;
-    std::map<std::string, pinned, std::less<>> m_transactions;
-    std::uint64_t m_next_transaction{1};
-    std::uint64_t m_reads{0};
-    std::uint64_t m_replica_reads{0};
-    std::uint64_t m_fallbacks{0};
+    backend_links m_links;
+    read_path m_reads;
+    write_path m_writes;
+    transaction_table m_transactions;
+    bool m_draining{false};
     metrics::latency m_write_latency;
     metrics::latency m_read_latency;
 };
--- a/src/cornellever/proxy/session_token.cpp
+++ b/src/cornellever/proxy/session_token.cpp
@@ -1,5 +1,7 @@
 #include "cornellever/proxy/session_token.hpp"
 
+#include <algorithm>
+
 namespace cornellever::proxy {
 
 write_mark session_token::mark_of(std::string_view database) const {
@@ -9,9 +11,7 @@
 
 void session_token::advance(std::string_view database, write_mark mark) {
     auto& current = marks[std::string{database}];
-    if (mark.term > current.term || (mark.term == current.term && mark.position > current.position)) {
-        current = mark;
-    }
+    current = std::max(current, mark);
 }
 
 Json::Value to_json(const session_token& token) {
@@ -33,7 +33,7 @@
     }
     for (const auto& database : value.getMemberNames()) {
         const auto& mark = value[database];
-        if (!mark.isObject() || !mark["term"].isIntegral() || !mark["position"].isIntegral()) {
+        if (!mark.isObject() || !mark["term"].isUInt64() || !mark["position"].isUInt64()) {
             return fail(errc::bad_request, "session entry '" + database + "' needs term and position");
         }
         out.marks[database] = write_mark{mark["term"].asUInt64(), mark["position"].asUInt64()};
--- a/src/cornellever/proxy/session_token.hpp
+++ b/src/cornellever/proxy/session_token.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -8,15 +7,10 @@
 #include <jsoncpp/json/value.h>
 
 #include "cornellever/core/error.hpp"
+#include "cornellever/proxy/write_mark.hpp"
 
 namespace cornellever::proxy {
 
-/// Where a session's last write to one database landed.
-struct write_mark {
-    std::uint64_t term{0};
-    std::uint64_t position{0};
-};
-
 /// The state a session carries between requests, so that any proxy can
 /// give it read-your-writes: per database (`service/database`), the term
 /// and log position of its last write. Returned with every answer.
--- a/src/cornellever/proxy/topology.cpp
+++ b/src/cornellever/proxy/topology.cpp
@@ -29,6 +29,8 @@
                     view.term = known->second.term;
                     view.position = known->second.position;
                     view.staleness_ms = known->second.staleness_ms;
+                    view.heard_ms = known->second.heard_ms;
+                    view.leaving_since = known->second.leaving_since;
                     view.last_heard = known->second.last_heard;
                 }
                 next.emplace(view.key, std::move(view));
@@ -48,14 +50,36 @@
     view.term = beat.term;
     view.position = beat.position;
     view.staleness_ms = beat.staleness_ms;
+    view.heard_ms = beat.heard_ms;
     view.last_heard = now;
 }
 
+void topology::set_leaving(const std::set<std::string, std::less<>>& leaving,
+                           std::chrono::steady_clock::time_point now) {
+    for (auto& [key, view] : m_instances) {
+        const bool listed =
+            leaving.contains(to_string(view.address)) || leaving.contains(view.address.address().to_string());
+        if (!listed) {
+            view.leaving_since.reset();
+        } else if (!view.leaving_since) {
+            view.leaving_since = now;
+        }
+    }
+}
+
+void topology::note_position(std::string_view key, std::uint64_t term, std::uint64_t position) {
+    const auto found = m_instances.find(key);
+    if (found != m_instances.end() && found->second.term == term) {
+        found->second.position = std::max(found->second.position, position);
+    }
+}
+
 const instance_view* topology::primary(std::string_view service, std::string_view database,
                                        std::chrono::steady_clock::time_point now) const {
     const instance_view* best = nullptr;
     for (const auto& [key, view] : m_instances) {
-        if (view.service != service || view.database != database || !view.primary || !view.healthy(now)) {
+        if (view.service != service || view.database != database || !view.primary || !view.healthy(now) ||
+            !view.takes_work(now)) {
             continue;
         }
         if (best == nullptr || view.term > best->term) {
@@ -66,17 +90,25 @@
 }
 
 std::vector<const instance_view*> topology::replicas(std::string_view service, std::string_view database,
-                                                     std::uint64_t min_position, std::string_view zone,
+                                                     write_mark mark, std::string_view zone,
                                                      std::chrono::steady_clock::time_point now) const {
+    auto out = members(service, database);
+    std::erase_if(out,
+                  [&](const auto* view) { return view->primary || !view->healthy(now) || !view->takes_work(now); });
+    const auto rank = [&](const instance_view* view) {
+        return std::pair{view->term >= mark.term && view->position >= mark.position, view->zone == zone};
+    };
+    std::ranges::stable_sort(out, [&](const auto* left, const auto* right) { return rank(left) > rank(right); });
+    return out;
+}
+
+std::vector<const instance_view*> topology::members(std::string_view service, std::string_view database) const {
     std::vector<const instance_view*> out;
     for (const auto& [key, view] : m_instances) {
-        if (view.service == service && view.database == database && !view.primary && view.healthy(now) &&
-            view.position >= min_position) {
+        if (view.service == service && view.database == database) {
             out.push_back(&view);
         }
     }
-    std::ranges::stable_sort(
-        out, [&](const auto* left, const auto* right) { return (left->zone == zone) > (right->zone == zone); });
     return out;
 }
 
@@ -90,6 +122,7 @@
         item["role"] = view.primary ? "primary" : "replica";
         item["term"] = static_cast<Json::UInt64>(view.term);
         item["position"] = static_cast<Json::UInt64>(view.position);
+        item["leaving"] = view.leaving_since.has_value();
         item["staleness_ms"] = static_cast<Json::Int64>(view.staleness_ms);
     }
     return out;
--- a/src/cornellever/proxy/topology.hpp
+++ b/src/cornellever/proxy/topology.hpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,20 +13,27 @@
 
 #include "cornellever/config/model.hpp"
 #include "cornellever/core/asio.hpp"
+#include "cornellever/proxy/write_mark.hpp"
 
 namespace cornellever::proxy {
 
 /// How long an instance counts as healthy after its last good heartbeat.
 inline constexpr auto health_timeout = std::chrono::milliseconds{1000};
 
+/// How long a leaving primary still gets new work while it hands over.
+inline constexpr auto leaving_grace = std::chrono::milliseconds{3000};
+
 /// What one heartbeat of an instance said.
 struct heartbeat {
     std::string key;
     bool answered{false};
     bool primary{false};
     std::uint64_t term{0};
+    /// The last position applied.
     std::uint64_t position{0};
     std::int64_t staleness_ms{0};
+    /// How long a replica has not heard from its primary.
+    std::int64_t heard_ms{0};
 };
 
 /// What this proxy knows of one backend instance.
@@ -40,7 +49,16 @@
     std::uint64_t term{0};
     std::uint64_t position{0};
     std::int64_t staleness_ms{0};
+    std::int64_t heard_ms{0};
     std::chrono::steady_clock::time_point last_heard{};
+    /// Set while the platform lists the machine as leaving.
+    std::optional<std::chrono::steady_clock::time_point> leaving_since;
+
+    /// Whether new work may go here: a replica that is leaving gets none, a
+    /// primary that is leaving some while longer, until another leads.
+    [[nodiscard]] bool takes_work(std::chrono::steady_clock::time_point now) const {
+        return !leaving_since || (primary && now - *leaving_since < leaving_grace);
+    }
 
     [[nodiscard]] bool healthy(std::chrono::steady_clock::time_point now) const {
         return last_heard.time_since_epoch().count() != 0 && now - last_heard < health_timeout;
@@ -59,16 +77,26 @@
     /// Records a heartbeat; unknown keys are ignored.
     void record(const heartbeat& beat, std::chrono::steady_clock::time_point now);
 
+    /// Marks the instances whose machine (`IP` or `IP:PORT`) is in `leaving`,
+    /// and clears the mark of all others.
+    void set_leaving(const std::set<std::string, std::less<>>& leaving, std::chrono::steady_clock::time_point now);
+
+    /// Notes a position that a replica's own answer showed applied.
+    void note_position(std::string_view key, std::uint64_t term, std::uint64_t position);
+
     /// The healthy primary of a database with the highest term, or null.
     [[nodiscard]] const instance_view* primary(std::string_view service, std::string_view database,
                                                std::chrono::steady_clock::time_point now) const;
 
-    /// Healthy replicas that heartbeats show at or past `min_position`,
-    /// those in `zone` first.
+    /// Healthy replicas that take work; first those last seen at or past
+    /// `mark`, and among them those in `zone`.
     [[nodiscard]] std::vector<const instance_view*> replicas(std::string_view service, std::string_view database,
-                                                             std::uint64_t min_position, std::string_view zone,
+                                                             write_mark mark, std::string_view zone,
                                                              std::chrono::steady_clock::time_point now) const;
 
+    /// Every instance of a database.
+    [[nodiscard]] std::vector<const instance_view*> members(std::string_view service, std::string_view database) const;
+
     /// Every instance, for the state dump.
     [[nodiscard]] Json::Value describe(std::chrono::steady_clock::time_point now) const;
 
--- /dev/null
+++ b/src/cornellever/proxy/transaction_table.cpp
@@ -0,0 +1,223 @@
+#include "cornellever/proxy/transaction_table.hpp"
+
+#include <algorithm>
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+#include "cornellever/core/log.hpp"
+
+namespace cornellever::proxy {
+
+namespace {
+
+constexpr auto retry_pause = std::chrono::milliseconds{20};
+
+std::string new_transaction_id() {
+    return to_string(boost::uuids::random_generator{}());
+}
+
+/// Whether only the record of request ids can tell what became of a commit:
+/// its outcome is unknown, or its id was found taken.
+bool needs_record(const error& failure) noexcept {
+    return !ran_not(failure.code) || failure.code == errc::conflict;
+}
+
+std::unexpected<error> not_open(const std::string& id) {
+    return fail(errc::not_run,
+                "transaction " + id + " is not open on this proxy: it ended, was rolled back, or another proxy has it");
+}
+
+} // namespace
+
+result<transaction_table::pinned*> transaction_table::find(const std::string& id) {
+    const auto found = m_open.find(id);
+    if (found == m_open.end()) {
+        return not_open(id);
+    }
+    if (found->second.busy) {
+        return fail(errc::busy, "transaction " + id + " is running another statement");
+    }
+    return &found->second;
+}
+
+result<transaction_table::pinned> transaction_table::take(const std::string& id) {
+    auto held = find(id);
+    if (!held) {
+        return std::unexpected{held.error()};
+    }
+    auto out = std::move(**held);
+    m_open.erase(id);
+    return out;
+}
+
+asio::awaitable<result<transaction_table::pinned>> transaction_table::open_on(const instance_view& primary,
+                                                                              const begin_request& request,
+                                                                              std::chrono::milliseconds idle_limit,
+                                                                              clock::time_point until) {
+    auto acquired = co_await m_links.acquire(primary, std::min(m_links.limits().pool_wait, time_left(until)));
+    if (!acquired) {
+        co_return std::unexpected{acquired.error()};
+    }
+    Json::Value payload;
+    payload["term"] = static_cast<Json::UInt64>(primary.term);
+    auto begun = co_await backend_links::call_on(*acquired, "begin", payload, time_left(until));
+    if (!begun) {
+        acquired->release();
+        // Nothing was asked of the transaction yet, and a connection in
+        // doubt was closed: whatever it opened is rolled back.
+        const bool refused = ran_not(begun.error().code);
+        co_return std::unexpected{refused ? begun.error() : error{errc::unavailable, begun.error().message, {}}};
+    }
+    co_return pinned{primary, std::move(*acquired), request.request_id, idle_limit, clock::now()};
+}
+
+answer transaction_table::begin(const config::service& service, const begin_request& request, clock::time_point until) {
+    if (!request.request_id.empty()) {
+        auto token = request.session;
+        auto earlier =
+            co_await m_writes.outcome_of(request.service, request.database, request.request_id, token, until);
+        if (!earlier || !earlier->isNull()) {
+            co_return earlier;
+        }
+    }
+    for (;;) {
+        auto target = co_await m_links.await_primary(request.service, request.database, until);
+        if (!target) {
+            co_return std::unexpected{target.error()};
+        }
+        auto opened = co_await open_on(*target, request, service.transaction_idle, until);
+        if (opened) {
+            const auto id = new_transaction_id();
+            m_open.emplace(id, std::move(*opened));
+            Json::Value out;
+            out["transaction"] = id;
+            out["session"] = to_json(request.session);
+            out["served_by"] = served_by(*target);
+            co_return out;
+        }
+        if (!worth_retrying(opened.error()) || clock::now() + retry_pause >= until) {
+            co_return std::unexpected{opened.error()};
+        }
+        co_await sleep_for(retry_pause);
+    }
+}
+
+answer transaction_table::execute(const execute_request& request, clock::time_point until) {
+    auto held = find(request.transaction);
+    if (!held) {
+        co_return std::unexpected{held.error()};
+    }
+    auto& transaction = **held;
+    transaction.busy = true;
+    auto out = co_await backend_links::call_on(transaction.connection, "execute", statement_payload(request),
+                                               time_left(until));
+    transaction.busy = false;
+    transaction.last_used = clock::now();
+    if (out) {
+        auto served = statement_answer(*out, request.session, transaction.primary);
+        served.removeMember("served_by"); // `begin` said it
+        served["transaction"] = request.transaction;
+        co_return served;
+    }
+    const bool over = !transaction.connection->usable() || out.error().code == errc::fenced;
+    if (over) {
+        // COMMIT was never sent, and the backend rolls back a transaction
+        // whose connection closed or whose primary was replaced.
+        m_open.erase(request.transaction);
+        co_return fail(errc::not_run,
+                       "transaction " + request.transaction + " was rolled back: " + out.error().message);
+    }
+    co_return std::unexpected{out.error()};
+}
+
+answer transaction_table::commit(const finish_request& request, clock::time_point until) {
+    auto taken = take(request.transaction);
+    if (!taken) {
+        co_return std::unexpected{taken.error()};
+    }
+    auto held = std::move(*taken);
+    auto token = request.session;
+    auto done = co_await commit_held(held, token, until);
+    if (!done && !held.request_id.empty() && needs_record(done.error())) {
+        done = co_await settle_by_record(held, done.error(), token, until);
+    }
+    if (!done) {
+        co_return std::unexpected{done.error()};
+    }
+    Json::Value out;
+    out["session"] = to_json(token);
+    co_return out;
+}
+
+asio::awaitable<result<void>> transaction_table::commit_held(pinned& held, session_token& token,
+                                                             clock::time_point until) {
+    if (!held.request_id.empty()) {
+        auto added = co_await m_writes.record().add(held.connection, held.request_id, Json::Value{Json::objectValue},
+                                                    time_left(until));
+        if (!added) {
+            held.connection.discard();
+            // A conflict means the same id committed elsewhere meanwhile.
+            const auto code = added.error().code == errc::conflict ? errc::conflict : errc::not_run;
+            co_return fail(code, "the transaction was rolled back: " + added.error().message);
+        }
+    }
+    auto committed =
+        co_await backend_links::call_on(held.connection, "commit", Json::Value{Json::objectValue}, time_left(until));
+    held.connection.release();
+    if (!committed) {
+        co_return std::unexpected{committed.error()};
+    }
+    if (!(*committed)["wrote"].asBool()) {
+        co_return result<void>{};
+    }
+    co_return co_await m_writes.acknowledge(held.primary, mark_from(*committed), token, until);
+}
+
+asio::awaitable<result<void>> transaction_table::settle_by_record(const pinned& held, error doubt, session_token& token,
+                                                                  clock::time_point until) {
+    auto outcome =
+        co_await m_writes.outcome_of(held.primary.service, held.primary.database, held.request_id, token, until);
+    if (!outcome) {
+        co_return std::unexpected{outcome.error()};
+    }
+    if (outcome->isNull()) {
+        co_return fail(errc::not_run, "the commit did not take effect: " + doubt.message);
+    }
+    co_return result<void>{};
+}
+
+answer transaction_table::rollback(const finish_request& request, clock::time_point until) {
+    auto taken = take(request.transaction);
+    if (!taken) {
+        co_return std::unexpected{taken.error()};
+    }
+    auto held = std::move(*taken);
+    auto undone =
+        co_await backend_links::call_on(held.connection, "rollback", Json::Value{Json::objectValue}, time_left(until));
+    // Closing rolls back as well: the caller got what it asked for either way.
+    if (undone) {
+        held.connection.release();
+    } else {
+        held.connection.discard();
+    }
+    Json::Value out;
+    out["session"] = to_json(request.session);
+    co_return out;
+}
+
+void transaction_table::sweep() {
+    const auto now = clock::now();
+    std::erase_if(m_open, [&](const auto& item) {
+        const auto& [id, held] = item;
+        const bool abandoned = !held.busy && now - held.last_used >= held.idle_limit;
+        if (abandoned) {
+            // Erasing closes the pinned connection, so the backend rolls the
+            // transaction back before anyone else can get that connection.
+            log_event(event::transaction_abandoned, "transaction=" + id + " instance=" + held.primary.key);
+        }
+        return abandoned;
+    });
+}
+
+} // namespace cornellever::proxy
--- a/src/cornellever/rpc/channel.cpp
+++ b/src/cornellever/rpc/channel.cpp
@@ -27,12 +27,29 @@
     boost::system::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     m_stream.close();
+    m_buffer.clear();
     m_connected = false;
 }
 
-asio::awaitable<result<void>> channel::connect(std::chrono::milliseconds deadline) {
+void channel::break_off() {
+    m_broken = true;
+    close();
+}
+
+bool channel::stale() {
+    if (!m_connected) {
+        return false;
+    }
+    char byte = 0;
+    boost::system::error_code ec;
+    auto& socket = m_stream.socket();
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec != asio::error::would_block;
+}
+
+asio::awaitable<result<void>> channel::connect() {
     boost::system::error_code ec;
-    m_stream.expires_after(deadline);
     co_await m_stream.async_connect(m_peer, asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
         m_stream.close();
@@ -49,8 +66,9 @@
     if (m_broken) {
         co_return fail(errc::unavailable, "channel to " + describe(m_peer) + " was closed after a failed call");
     }
+    m_stream.expires_after(deadline);
     if (!m_connected) {
-        auto connected = co_await connect(deadline);
+        auto connected = co_await connect();
         if (!connected) {
             co_return std::unexpected{connected.error()};
         }
@@ -64,24 +82,34 @@
     request.prepare_payload();
 
     boost::system::error_code ec;
-    m_stream.expires_after(deadline);
     m_bytes_sent += co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
     if (!ec) {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(max_answer_bytes);
         m_bytes_received +=
             co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec) {
-            m_stream.expires_never();
-            co_return decode_response(parser.get().body(), id);
-        }
     }
-    // The request may have reached the peer and run: a timeout or a cut
-    // connection after sending cannot tell "not run" from "ran".
-    m_broken = true;
-    close();
-    co_return fail(errc::outcome_unknown,
-                   std::string{method} + " to " + describe(m_peer) + " got no whole answer: " + ec.message());
+    if (ec) {
+        // The request may have reached the peer and run: a timeout or a cut
+        // connection after sending cannot tell "not run" from "ran".
+        break_off();
+        co_return fail(errc::outcome_unknown,
+                       std::string{method} + " to " + describe(m_peer) + " got no whole answer: " + ec.message());
+    }
+    m_stream.expires_never();
+    const auto answer = parse_json(parser.get().body());
+    if (!answers(answer, id)) {
+        // An answer to another request (late, or out of order) shows as a
+        // foreign id. Reading on would pair every later answer with the wrong
+        // request, so the connection ends here.
+        break_off();
+        co_return fail(errc::outcome_unknown, std::string{method} + " to " + describe(m_peer) +
+                                                  " was answered with the answer to another request");
+    }
+    if (!parser.get().keep_alive()) {
+        close();
+    }
+    co_return decode_response(*answer);
 }
 
 result<Json::Value> call_blocking(const tcp::endpoint& peer, std::string_view method, const Json::Value& params,
--- a/src/cornellever/rpc/channel.hpp
+++ b/src/cornellever/rpc/channel.hpp
@@ -28,6 +28,10 @@
     asio::awaitable<result<Json::Value>> call(std::string_view method, const Json::Value& params,
                                               std::chrono::milliseconds deadline);
 
+    /// True when the peer closed this idle connection (or sent something
+    /// nobody asked for): a request sent on it would end in doubt.
+    [[nodiscard]] bool stale();
+
     /// False once a call failed in a way that leaves the connection in doubt.
     [[nodiscard]] bool usable() const noexcept { return !m_broken; }
 
@@ -42,7 +46,8 @@
     void close();
 
 private:
-    asio::awaitable<result<void>> connect(std::chrono::milliseconds deadline);
+    asio::awaitable<result<void>> connect();
+    void break_off();
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
--- a/src/cornellever/rpc/envelope.cpp
+++ b/src/cornellever/rpc/envelope.cpp
@@ -18,18 +18,26 @@
     out["message"] = failure.message;
     out["data"]["kind"] = std::string{to_string(failure.code)};
     out["data"]["ran"] = ran_not(failure.code) ? "no" : "unknown";
+    if (failure.retry_after.count() > 0) {
+        out["data"]["retry_after_ms"] = static_cast<Json::Int64>(failure.retry_after.count());
+    }
     return out;
 }
 
 error error_from_object(const Json::Value& object) {
+    if (!object.isObject() || !object["message"].isString() || !object["code"].isInt()) {
+        return error{errc::outcome_unknown, "the error in the answer is malformed", {}};
+    }
     const auto& data = object["data"];
     if (data.isObject() && data["kind"].isString()) {
-        return error{errc_from_string(data["kind"].asString()), object["message"].asString()};
+        const auto& after = data["retry_after_ms"];
+        return error{errc_from_string(data["kind"].asString()), object["message"].asString(),
+                     std::chrono::milliseconds{after.isInt64() ? after.asInt64() : 0}};
     }
     const auto code = object["code"].asInt();
     // Standard JSON-RPC refusals (parse error, unknown method, bad params) happen before any handler runs.
     const bool refused = code <= invalid_request && code >= parse_error;
-    return error{refused ? errc::bad_request : errc::outcome_unknown, object["message"].asString()};
+    return error{refused ? errc::bad_request : errc::outcome_unknown, object["message"].asString(), {}};
 }
 
 } // namespace
@@ -46,8 +54,13 @@
     const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
     Json::Value value;
     std::string problem;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problem)) {
-        return fail(errc::bad_request, "not JSON: " + problem);
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &problem)) {
+            return fail(errc::bad_request, "not JSON: " + problem);
+        }
+    } catch (const Json::Exception& too_deep) {
+        // jsoncpp throws, rather than fails, on input nested past its stack limit.
+        return fail(errc::bad_request, std::string{"not JSON: "} + too_deep.what());
     }
     return value;
 }
@@ -89,15 +102,15 @@
     return to_text(out);
 }
 
-result<Json::Value> decode_response(std::string_view body, std::uint64_t id) {
-    auto parsed = parse_json(body);
-    if (!parsed || !parsed->isObject() || !(*parsed)["id"].isIntegral() || (*parsed)["id"].asUInt64() != id) {
-        return fail(errc::outcome_unknown, "the answer is not the answer to this request");
-    }
-    if (parsed->isMember("error")) {
-        return std::unexpected{error_from_object((*parsed)["error"])};
+bool answers(const result<Json::Value>& answer, std::uint64_t id) {
+    return answer && answer->isObject() && (*answer)["id"].isUInt64() && (*answer)["id"].asUInt64() == id;
+}
+
+result<Json::Value> decode_response(const Json::Value& answer) {
+    if (answer.isMember("error")) {
+        return std::unexpected{error_from_object(answer["error"])};
     }
-    return (*parsed)["result"];
+    return answer["result"];
 }
 
 } // namespace cornellever::rpc
--- a/src/cornellever/rpc/envelope.hpp
+++ b/src/cornellever/rpc/envelope.hpp
@@ -29,10 +29,12 @@
 /// Encodes the answer to the request `id`: its result or its error.
 [[nodiscard]] std::string encode_response(const Json::Value& id, const result<Json::Value>& answer);
 
-/// Parses an answer body; the error inside an error answer comes back as the
-/// error of the result, and a body that is not an answer to `id` as
-/// `outcome_unknown`, since the request may have run.
-[[nodiscard]] result<Json::Value> decode_response(std::string_view body, std::uint64_t id);
+/// Whether `answer`, a parsed body, answers the request `id`: a late or
+/// misdirected answer carries another id, a cut one does not parse.
+[[nodiscard]] bool answers(const result<Json::Value>& answer, std::uint64_t id);
+
+/// The result inside an answer, or the error it carries.
+[[nodiscard]] result<Json::Value> decode_response(const Json::Value& answer);
 
 /// Compact one-line JSON text of `value`.
 [[nodiscard]] std::string to_text(const Json::Value& value);
--- a/src/cornellever/rpc/server.cpp
+++ b/src/cornellever/rpc/server.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/scoped_count.hpp"
 #include "cornellever/rpc/envelope.hpp"
 
 namespace cornellever::rpc {
@@ -15,18 +16,6 @@
 
 constexpr std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
 
-/// Holds a counter up while a request is being handled.
-class counted {
-public:
-    explicit counted(std::size_t& counter) : m_counter{counter} { ++m_counter; }
-    ~counted() { --m_counter; }
-    counted(const counted&) = delete;
-    counted& operator=(const counted&) = delete;
-
-private:
-    std::size_t& m_counter;
-};
-
 } // namespace
 
 server::server(const asio::any_io_executor& executor) : m_executor{executor}, m_acceptor{executor} {}
@@ -79,7 +68,7 @@
 }
 
 asio::awaitable<void> server::serve(tcp::socket socket) {
-    counted open{m_open};
+    scoped_count open{m_open};
     connection conn;
     conn.id = m_next_connection++;
     boost::system::error_code ec;
@@ -93,6 +82,8 @@
         if (ec) {
             co_return;
         }
+        // Held until the answer is written: a planned stop waits for it.
+        scoped_count busy{m_in_flight};
         auto request = parser.release();
         auto body = co_await dispatch(request.body(), conn);
         if (conn.go_silent) {
@@ -106,18 +97,18 @@
         }
         http::response<http::string_body> response{http::status::ok, request.version()};
         response.set(http::field::content_type, "application/json");
-        response.keep_alive(request.keep_alive());
+        const bool stays = request.keep_alive() && !m_draining;
+        response.keep_alive(stays);
         response.body() = std::move(body);
         response.prepare_payload();
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
-        if (ec || !request.keep_alive()) {
+        if (ec || !stays) {
             co_return;
         }
     }
 }
 
 asio::awaitable<std::string> server::dispatch(std::string_view body, connection& conn) {
-    counted busy{m_in_flight};
     auto decoded = decode_request(body);
     if (!decoded) {
         log_event(event::rpc_bad_request, "reason=\"" + decoded.error().message + "\"");
@@ -127,8 +118,20 @@
     if (found == m_handlers.end()) {
         co_return encode_response(decoded->id, fail(errc::bad_request, "unknown method '" + decoded->method + "'"));
     }
-    auto answer = co_await found->second(decoded->params, conn);
+    auto answer = co_await run(found->second, decoded->params, conn);
     co_return encode_response(decoded->id, answer);
 }
 
+asio::awaitable<result<Json::Value>> server::run(const handler& call, const Json::Value& params, connection& conn) {
+    // jsoncpp throws when a field has another type than the one asked for.
+    // One caller's odd input must cost that caller an error, never the
+    // process and with it everybody else's requests.
+    try {
+        co_return co_await call(params, conn);
+    } catch (const std::exception& problem) {
+        log_event(event::rpc_bad_request, "reason=\"" + std::string{problem.what()} + "\"");
+        co_return fail(errc::internal, std::string{"the request could not be handled: "} + problem.what());
+    }
+}
+
 } // namespace cornellever::rpc
--- a/src/cornellever/rpc/server.hpp
+++ b/src/cornellever/rpc/server.hpp
@@ -55,6 +55,14 @@
     /// Stops accepting new connections; open ones go on.
     void stop_accepting();
 
+    /// From now on every answer tells the peer to take its next request
+    /// elsewhere (HTTP `Connection: close`), so that a planned stop empties
+    /// connections between requests and never in the middle of one.
+    void drain() { m_draining = true; }
+
+    /// True once `drain` was called.
+    [[nodiscard]] bool draining() const noexcept { return m_draining; }
+
     /// Requests being handled right now.
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
@@ -65,6 +73,7 @@
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<std::string> dispatch(std::string_view body, connection& conn);
+    asio::awaitable<result<Json::Value>> run(const handler& call, const Json::Value& params, connection& conn);
 
     asio::any_io_executor m_executor;
     tcp::acceptor m_acceptor;
@@ -72,6 +81,7 @@
     std::uint64_t m_next_connection{1};
     std::size_t m_in_flight{0};
     std::size_t m_open{0};
+    bool m_draining{false};
 };
 
 } // namespace cornellever::rpc
