Bench verify, gap and differential; what their first runs broke, mended

Cause: the promises need a workload that knows what its callers were told and counts it in the database afterwards. Its first runs under faults found, each cause read from the logs before the change: - failover twice within 100 ms: the second proxy had not heard of the new primary yet. A row with a newer term than any instance reported is now left alone for the lease. - callers of a frozen primary waited out their 2 s call deadline though another led after 1 s. A transaction now belongs to the caller connection that began it and is rolled back when that closes.

Ruled out: a lower heartbeat interval (it costs control bytes, see docs/CAPACITY.md); replacing a primary on one proxy's word.

--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -164,6 +164,11 @@
     }
 }
 
+std::unexpected<error> instance::refuse(const error& refusal) const {
+    log_event(event::backend_refused, "instance=" + m_settings.name + " reason=\"" + refusal.message + "\"");
+    return std::unexpected{refusal};
+}
+
 void instance::append(std::vector<logged_statement> statements) {
     m_data.committed_here(m_log.append(m_term, std::move(statements), clock::now()));
     log_event(event::backend_write, "instance=" + m_settings.name + " position=" + std::to_string(m_log.last()));
@@ -180,18 +185,23 @@
         co_return fail(errc::fenced, "the transaction was rolled back: instance " + m_settings.name +
                                          " is no longer the primary it began on");
     }
+    ++m_statements;
     const auto sql = in["sql"].asString();
+    // Before the text is looked at: a replica that has not applied the
+    // session's CREATE TABLE would call a good statement bad.
+    auto admitted = session.in_transaction ? result<void>{} : admit_read(in);
+    if (!admitted) {
+        co_return refuse(admitted.error());
+    }
     auto kind = session.db.classify(sql);
     if (!kind) {
         co_return std::unexpected{kind.error()};
     }
-    if (!session.in_transaction) {
-        auto admitted = *kind == access::write ? admit_write(in) : admit_read(in);
-        if (!admitted) {
-            log_event(event::backend_refused,
-                      "instance=" + m_settings.name + " reason=\"" + admitted.error().message + "\"");
-            co_return std::unexpected{admitted.error()};
-        }
+    if (*kind == access::write && !session.in_transaction) {
+        admitted = admit_write(in);
+    }
+    if (!admitted) {
+        co_return refuse(admitted.error());
     }
     const auto& bound = in.isMember("params") ? in["params"] : Json::Value{Json::arrayValue};
     auto ran = session.db.run(sql, bound);
@@ -299,6 +309,7 @@
     out["heard_ms"] = static_cast<Json::Int64>(m_role == role::primary ? 0 : millis_since(m_heard_at));
     out["connections"] = static_cast<Json::UInt64>(m_clients.size());
     out["transactions"] = static_cast<Json::UInt64>(open_transactions());
+    out["statements"] = static_cast<Json::UInt64>(m_statements);
     out["faults"] = to_json(m_faults);
     return out;
 }
--- a/src/cornellever/backend/instance.hpp
+++ b/src/cornellever/backend/instance.hpp
@@ -82,6 +82,7 @@
     asio::awaitable<void> after_effect(rpc::connection& conn);
     [[nodiscard]] result<void> admit_read(params in) const;
     [[nodiscard]] result<void> admit_write(params in) const;
+    [[nodiscard]] std::unexpected<error> refuse(const error& refusal) const;
     [[nodiscard]] Json::Value where_written() const;
     [[nodiscard]] std::chrono::milliseconds staleness() const;
     [[nodiscard]] std::size_t open_transactions() const;
@@ -107,6 +108,7 @@
     bool m_quiescing{false};
     write_log m_log;
     faults m_faults;
+    std::uint64_t m_statements{0};
     std::set<client*> m_clients;
     /// Timers of the `await_received` calls under way.
     std::set<asio::steady_timer*> m_waiting;
--- a/src/cornellever/backend/sqlite.cpp
+++ b/src/cornellever/backend/sqlite.cpp
@@ -102,6 +102,10 @@
     case SQLITE_ATTACH:
     case SQLITE_DETACH:
     case SQLITE_PRAGMA:
+    case SQLITE_CREATE_TEMP_TABLE:
+    case SQLITE_CREATE_TEMP_VIEW:
+    case SQLITE_CREATE_TEMP_INDEX:
+    case SQLITE_CREATE_TEMP_TRIGGER:
         return SQLITE_DENY;
     default:
         return SQLITE_OK;
@@ -142,6 +146,9 @@
             return fail(errc::bad_request, "parameter " + std::to_string(index + 1) + " does not bind");
         }
     }
+    // Not sqlite3_changes: after a statement that changes no rows that is
+    // still the count of an earlier one, perhaps of another caller.
+    const auto changed_before = sqlite3_total_changes64(m_handle.get());
     statement_result out;
     out.read_only = sqlite3_stmt_readonly(raw) != 0;
     const int columns = sqlite3_column_count(raw);
@@ -159,7 +166,7 @@
     if (step != SQLITE_DONE) {
         return fail(classify_failure(step), sqlite3_errmsg(m_handle.get()));
     }
-    out.changes = out.read_only ? 0 : sqlite3_changes64(m_handle.get());
+    out.changes = sqlite3_total_changes64(m_handle.get()) - changed_before;
     return out;
 }
 
--- a/src/cornellever/backend/sqlite.hpp
+++ b/src/cornellever/backend/sqlite.hpp
@@ -47,7 +47,7 @@
     [[nodiscard]] bool in_transaction() const noexcept;
 
     /// From now on statements that would change the connection itself
-    /// (BEGIN, COMMIT, SAVEPOINT, ATTACH, PRAGMA) are refused as
+    /// (BEGIN, COMMIT, SAVEPOINT, ATTACH, PRAGMA, TEMP tables) are refused as
     /// `bad_request`, not run; `exec` stays free to use them.
     void refuse_connection_statements();
 
--- /dev/null
+++ b/src/cornellever/bench/caller.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/error.hpp"
+#include "cornellever/rpc/channel.hpp"
+
+namespace cornellever::bench {
+
+/// The database a bench run works on.
+struct bench_target {
+    std::string service;
+    std::string database;
+};
+
+/// A caller's session as a caller library would keep it: the token of its
+/// latest answer, and a connection to each proxy it has talked to.
+class caller {
+public:
+    caller(asio::any_io_executor executor, std::vector<tcp::endpoint> proxies, bench_target target);
+
+    /// Calls `method` on proxy `index`, adding service, database and the
+    /// session token to `params`, and keeps the token of the answer.
+    asio::awaitable<result<Json::Value>> call(std::size_t index, std::string_view method, Json::Value params,
+                                              std::chrono::milliseconds deadline);
+
+    /// Closes the connection to proxy `index` without a word.
+    void vanish(std::size_t index) { m_links[index].reset(); }
+
+    /// How many proxies there are to roam between.
+    [[nodiscard]] std::size_t proxies() const noexcept { return m_proxies.size(); }
+
+private:
+    asio::any_io_executor m_executor;
+    std::vector<tcp::endpoint> m_proxies;
+    std::vector<std::unique_ptr<rpc::channel>> m_links;
+    bench_target m_target;
+    Json::Value m_session{Json::objectValue};
+};
+
+/// A statement's params: its text and one bound text per `bound`. Not an
+/// initializer list: g++ 12 cannot compile those inside `co_await` operands.
+template <std::convertible_to<std::string>... Texts>
+[[nodiscard]] Json::Value statement(std::string_view sql, const Texts&... bound) {
+    Json::Value out;
+    out["sql"] = std::string{sql};
+    out["params"] = Json::arrayValue;
+    (out["params"].append(std::string{bound}), ...);
+    return out;
+}
+
+} // namespace cornellever::bench
--- /dev/null
+++ b/src/cornellever/bench/gap.cpp
@@ -0,0 +1,135 @@
+#include "cornellever/bench/gap.hpp"
+
+namespace cornellever::bench {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr auto call_deadline = std::chrono::milliseconds{2000};
+constexpr auto write_pause = std::chrono::milliseconds{5};
+constexpr auto settle_limit = std::chrono::seconds{15};
+constexpr auto settle_pause = std::chrono::milliseconds{100};
+
+constexpr auto create_table = "CREATE TABLE IF NOT EXISTS bench_gap (at INTEGER NOT NULL)";
+constexpr auto insert_row = "INSERT INTO bench_gap (at) VALUES (?)";
+
+/// One round's frozen instance.
+struct frozen_primary {
+    std::string key;
+    tcp::endpoint address;
+};
+
+class gap_run {
+public:
+    gap_run(asio::any_io_executor executor, const gap_plan& plan)
+        : m_executor{std::move(executor)}
+        , m_plan{plan}
+        , m_caller{m_executor, plan.proxies, plan.target} {}
+
+    asio::awaitable<void> run() {
+        if (!co_await acknowledged_within(create_table, settle_limit)) {
+            m_report.failure = "no write was acknowledged before the first round";
+            co_return;
+        }
+        for (int round = 0; round < m_plan.rounds && m_report.failure.empty(); ++round) {
+            co_await play_round();
+        }
+    }
+
+    gap_report& report() { return m_report; }
+
+private:
+    asio::awaitable<void> play_round() {
+        const auto primary = co_await find_primary();
+        if (primary.key.empty()) {
+            m_report.failure = "no primary is known";
+            co_return;
+        }
+        co_await set_frozen(primary.address, true);
+        const auto started = clock::now();
+        const bool back = co_await acknowledged_within(insert_row, longest_gap);
+        const auto gap = clock::now() - started;
+        co_await set_frozen(primary.address, false);
+        if (!back) {
+            m_report.failure = "no write was acknowledged after " + primary.key + " froze";
+            co_return;
+        }
+        m_report.gaps.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(gap));
+        m_report.histogram.record(gap);
+        co_await await_replica(primary);
+    }
+
+    asio::awaitable<bool> acknowledged_within(const char* sql, clock::duration limit) {
+        const auto until = clock::now() + limit;
+        for (std::size_t turn = 0; clock::now() < until; ++turn) {
+            auto params = statement(sql);
+            if (sql == insert_row) {
+                params["params"].append(Json::Int64{static_cast<Json::Int64>(turn)});
+            }
+            auto answer = co_await m_caller.call(turn % m_caller.proxies(), "execute", params, call_deadline);
+            if (answer) {
+                co_return true;
+            }
+            co_await sleep_for(write_pause);
+        }
+        co_return false;
+    }
+
+    asio::awaitable<Json::Value> instances() {
+        rpc::channel link{m_executor, m_plan.proxies.front()};
+        auto dump = co_await link.call("dump", Json::Value{Json::objectValue}, call_deadline);
+        co_return dump ? (*dump)["instances"] : Json::Value{Json::objectValue};
+    }
+
+    asio::awaitable<frozen_primary> find_primary() {
+        const auto prefix = m_plan.target.service + "/" + m_plan.target.database + "/";
+        const auto known = co_await instances();
+        for (const auto& key : known.getMemberNames()) {
+            const auto& item = known[key];
+            tcp::endpoint where;
+            if (key.starts_with(prefix) && item["role"] == "primary" && item["healthy"].asBool() &&
+                parse_endpoint(item["address"].asString(), where)) {
+                co_return frozen_primary{key, where};
+            }
+        }
+        co_return frozen_primary{};
+    }
+
+    asio::awaitable<void> set_frozen(tcp::endpoint where, bool frozen) {
+        rpc::channel link{m_executor, where};
+        Json::Value params;
+        params["frozen"] = frozen;
+        (void)co_await link.call("fault.set", params, call_deadline);
+    }
+
+    asio::awaitable<void> await_replica(const frozen_primary& old) {
+        const auto until = clock::now() + settle_limit;
+        while (clock::now() < until) {
+            const auto known = co_await instances();
+            const auto& item = known[old.key];
+            if (item["healthy"].asBool() && item["role"] == "replica" && item["staleness_ms"].asInt64() < 500) {
+                co_return;
+            }
+            co_await sleep_for(settle_pause);
+        }
+        m_report.failure = old.key + " did not come back as a replica";
+    }
+
+    asio::any_io_executor m_executor;
+    const gap_plan& m_plan;
+    caller m_caller;
+    gap_report m_report;
+};
+
+} // namespace
+
+gap_report run_gap(const gap_plan& plan) {
+    asio::io_context io;
+    gap_run work{io.get_executor(), plan};
+    asio::co_spawn(io, work.run(), asio::detached);
+    io.run();
+    return std::move(work.report());
+}
+
+} // namespace cornellever::bench
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -1,10 +1,14 @@
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 
 #include <tclap/CmdLine.h>
 
+#include "cornellever/bench/differential.hpp"
+#include "cornellever/bench/gap.hpp"
 #include "cornellever/bench/load.hpp"
 #include "cornellever/bench/session_script.hpp"
+#include "cornellever/bench/verify.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
 #include "cornellever/rpc/envelope.hpp"
@@ -100,11 +104,72 @@
     return via_proxy.failed + straight.failed == 0 ? 0 : 1;
 }
 
+double share(std::size_t part, std::size_t whole) {
+    return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void print_findings(const char* what, const std::vector<std::string>& findings) {
+    std::printf("%-28s %zu\n", what, findings.size());
+    constexpr std::size_t shown = 5;
+    for (std::size_t index = 0; index < std::min(findings.size(), shown); ++index) {
+        std::printf("    %s\n", findings[index].c_str());
+    }
+}
+
+int run_verify_mode(const bench::verify_plan& plan) {
+    const auto report = bench::run_verify(plan);
+    std::printf("told: done %zu, not run %zu, unknown %zu\n", report.done, report.not_run, report.unknown);
+    std::printf("own reads %zu, by replicas %.3f\n", report.reads, share(report.replica_reads, report.reads));
+    print_findings("reads without an answer", report.read_errors);
+    std::printf("longest time without an acknowledged write %lld ms\n",
+                static_cast<long long>(report.longest_gap.count()));
+    std::printf("writes p50 %.0f us p99 %.0f us, reads p50 %.0f us p99 %.0f us\n",
+                report.write_latency.quantile_us(0.5), report.write_latency.quantile_us(0.99),
+                report.read_latency.quantile_us(0.5), report.read_latency.quantile_us(0.99));
+    print_findings("acknowledged, not exactly once", report.lost_or_doubled);
+    print_findings("told not run, but ran", report.ran_after_all);
+    print_findings("torn or mixed", report.torn);
+    print_findings("own write not seen", report.unseen);
+    if (!report.check_failure.empty()) {
+        std::printf("not checked: %s\n", report.check_failure.c_str());
+    }
+    std::printf("verdict: %s\n", report.clean() ? "clean" : "BROKEN");
+    return report.clean() ? 0 : 1;
+}
+
+int run_gap_mode(const bench::gap_plan& plan) {
+    const auto report = bench::run_gap(plan);
+    for (const auto gap : report.gaps) {
+        std::printf("gap %lld ms\n", static_cast<long long>(gap.count()));
+    }
+    std::printf("failover gap over %zu rounds: p50 %.0f ms p99 %.0f ms max %lld ms\n", report.gaps.size(),
+                report.histogram.quantile_us(0.5) / 1000, report.histogram.quantile_us(0.99) / 1000,
+                report.gaps.empty() ? 0LL : static_cast<long long>(std::ranges::max(report.gaps).count()));
+    if (!report.failure.empty()) {
+        std::printf("ended early: %s\n", report.failure.c_str());
+    }
+    return report.failure.empty() ? 0 : 1;
+}
+
+int run_differential_mode(const bench::differential_plan& plan) {
+    const auto report = bench::run_differential(plan);
+    std::printf("answers compared %zu, reads %zu, by replicas %.3f (naive 0)\n", report.answers, report.reads,
+                share(report.replica_reads, report.reads));
+    std::printf("proxied p50 %.0f us p99 %.0f us, naive p50 %.0f us p99 %.0f us\n", report.proxied.quantile_us(0.5),
+                report.proxied.quantile_us(0.99), report.naive.quantile_us(0.5), report.naive.quantile_us(0.99));
+    print_findings("differences", report.differences);
+    if (!report.failure.empty()) {
+        std::printf("ended early: %s\n", report.failure.c_str());
+    }
+    return report.differences.empty() && report.failure.empty() ? 0 : 1;
+}
+
 } // namespace
 
 int bench_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"Load and experiment tool: scripted sessions and load through proxies", ' ', "0.1"};
-    TCLAP::UnlabeledValueArg<std::string> mode{"mode", "session, load, call or hold", true, "", "mode", cmd};
+    TCLAP::UnlabeledValueArg<std::string> mode{
+        "mode", "session, verify, gap, differential, load, call or hold", true, "", "mode", cmd};
     TCLAP::MultiArg<std::string> proxies{"", "proxy", "IP:PORT of a proxy (repeat for more)", false, "address", cmd};
     TCLAP::ValueArg<std::string> script{"", "script", "session script (JSON)", false, "", "path", cmd};
     TCLAP::ValueArg<std::string> transcript{"",     "transcript", "write the normalised session here", false, "",
@@ -122,6 +187,10 @@
     TCLAP::ValueArg<std::size_t> connections{"", "connections", "connections to hold (hold)", false, 1000, "count",
                                              cmd};
     TCLAP::ValueArg<int> millis{"", "duration-ms", "how long each load runs", false, 2000, "ms", cmd};
+    TCLAP::ValueArg<std::uint64_t> seed{"",       "seed", "seed of random scripts (verify, differential)", false, 1,
+                                        "number", cmd};
+    TCLAP::ValueArg<int> rounds{"", "rounds", "lost primaries (gap)", false, 5, "count", cmd};
+    TCLAP::ValueArg<std::size_t> steps{"", "steps", "steps of each session (differential)", false, 30, "count", cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
     init_logging("bench", severity::warning);
     tcp::endpoint any;
@@ -142,12 +211,29 @@
     if (mode.getValue() == "session") {
         return run_session_mode(script.getValue(), targets, transcript.getValue());
     }
+    const bench::bench_target on{service.getValue(), database.getValue()};
+    if (mode.getValue() == "verify") {
+        return run_verify_mode({.proxies = targets,
+                                .target = on,
+                                .callers = sessions.getValue(),
+                                .duration = std::chrono::milliseconds{millis.getValue()},
+                                .seed = seed.getValue()});
+    }
+    if (mode.getValue() == "gap") {
+        return run_gap_mode({targets, on, rounds.getValue()});
+    }
     tcp::endpoint backend;
+    if (mode.getValue() == "differential" && parse_endpoint(direct.getValue(), backend)) {
+        return run_differential_mode({targets, backend, on, sessions.getValue(), steps.getValue(), seed.getValue()});
+    }
     if (mode.getValue() == "load" && parse_endpoint(direct.getValue(), backend)) {
         return run_load_mode(targets.front(), backend, service.getValue(), database.getValue(), sql.getValue(),
                              sessions.getValue(), millis.getValue());
     }
     std::fprintf(stderr, "usage: cornellever bench session --proxy A --proxy B --script FILE [--transcript OUT]\n"
+                         "       cornellever bench verify --proxy A --proxy B [--sessions N --duration-ms M --seed S]\n"
+                         "       cornellever bench gap --proxy A --proxy B [--rounds N]\n"
+                         "       cornellever bench differential --proxy A --proxy B --direct NAIVE [--seed S]\n"
                          "       cornellever bench load --proxy A --direct BACKEND [--sessions N --duration-ms M]\n"
                          "       cornellever bench call --target ADDR --method M [--params JSON --sessions N]\n"
                          "       cornellever bench hold --target ADDR --connections N --duration-ms M\n");
--- a/src/cornellever/bench/session_script.cpp
+++ b/src/cornellever/bench/session_script.cpp
@@ -1,6 +1,7 @@
 #include "cornellever/bench/session_script.hpp"
 
 #include <fstream>
+#include <map>
 #include <sstream>
 
 #include "cornellever/rpc/channel.hpp"
@@ -45,29 +46,42 @@
     return steps;
 }
 
-std::vector<exchange> run_session(const std::vector<session_step>& steps, const std::vector<tcp::endpoint>& proxies) {
-    std::vector<exchange> out;
+namespace {
+
+asio::awaitable<void> run_steps(const std::vector<session_step>& steps, const std::vector<tcp::endpoint>& proxies,
+                                std::vector<exchange>& out) {
+    const auto executor = co_await asio::this_coro::executor;
+    std::map<tcp::endpoint, std::unique_ptr<rpc::channel>> links;
     Json::Value session{Json::objectValue};
     std::string transaction;
     for (const auto& step : steps) {
         const auto& target = proxies.at(step.proxy % proxies.size());
+        auto& link = links[target];
+        if (!link || !link->usable()) {
+            link = std::make_unique<rpc::channel>(executor, target);
+        }
         auto params = substitute(step.params, session, transaction);
-        auto answer = rpc::call_blocking(target, step.method, params, call_deadline);
+        auto answer = co_await link->call(step.method, params, call_deadline);
         exchange item{step.proxy, step.method, params, {}, answer.has_value()};
         if (answer) {
             item.answer = *answer;
-            if (answer->isMember("session")) {
-                session = (*answer)["session"];
-            }
-            if (answer->isMember("transaction")) {
-                transaction = (*answer)["transaction"].asString();
-            }
+            session = answer->get("session", session);
+            transaction = answer->get("transaction", transaction).asString();
         } else {
             item.answer["error"] = std::string{to_string(answer.error().code)};
             item.answer["message"] = answer.error().message;
         }
         out.push_back(std::move(item));
     }
+}
+
+} // namespace
+
+std::vector<exchange> run_session(const std::vector<session_step>& steps, const std::vector<tcp::endpoint>& proxies) {
+    asio::io_context io;
+    std::vector<exchange> out;
+    asio::co_spawn(io, run_steps(steps, proxies, out), asio::detached);
+    io.run();
     return out;
 }
 
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto primary_poll = std::chrono::milliseconds{10};
+/// An instance not heard for this long counts as silent once replaced.
+constexpr auto silent_after = std::chrono::milliseconds{400};
 constexpr auto primary_retry_after = std::chrono::milliseconds{1000};
 
 } // namespace
@@ -26,6 +28,28 @@
     resize_pools();
 }
 
+void backend_links::record(const heartbeat& beat) {
+    const auto* before = m_topology.find(beat.key);
+    const bool led = before != nullptr && before->primary && before->term >= beat.term;
+    m_topology.record(beat, clock::now());
+    if (beat.answered && beat.primary && !led) {
+        if (const auto* leader = m_topology.find(beat.key); leader != nullptr) {
+            cut_replaced(*leader);
+        }
+    }
+}
+
+void backend_links::cut_replaced(const instance_view& leader) {
+    const auto now = clock::now();
+    for (const auto* member : m_topology.members(leader.service, leader.database)) {
+        const bool silent = member->refused || now - member->last_heard > silent_after;
+        const auto found = m_pools.find(member->key);
+        if (member->key != leader.key && member->term < leader.term && silent && found != m_pools.end()) {
+            found->second->break_in_use();
+        }
+    }
+}
+
 void backend_links::set_machines(const std::set<std::string, std::less<>>& leaving, std::size_t proxies) {
     m_leaving = leaving;
     m_topology.set_leaving(leaving, clock::now());
--- a/src/cornellever/proxy/backend_links.hpp
+++ b/src/cornellever/proxy/backend_links.hpp
@@ -39,8 +39,9 @@
     /// Takes the instances of a new configuration.
     void update(const config::cluster& config);
 
-    /// Takes a heartbeat result.
-    void record(const heartbeat& beat) { m_topology.record(beat, clock::now()); }
+    /// Takes a heartbeat result; one that shows a new primary cuts the
+    /// connections in use to an older one that does not answer.
+    void record(const heartbeat& beat);
 
     /// Takes the platform's list of machines: those leaving, and how many
     /// proxies share each instance's connections.
@@ -84,6 +85,7 @@
     [[nodiscard]] pool& pool_of(const instance_view& target);
     [[nodiscard]] std::size_t share_of(const instance_view& target) const;
     void resize_pools();
+    void cut_replaced(const instance_view& leader);
 
     asio::any_io_executor m_executor;
     link_limits m_limits;
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -17,6 +17,7 @@
     heartbeat out;
     out.key = key;
     if (!status) {
+        out.refused = status.error().code == errc::unavailable;
         return out;
     }
     out.answered = true;
@@ -151,7 +152,7 @@
         if (found == m_probes.end() || found->second.second != generation) {
             co_return;
         }
-        auto status = co_await call_over(link, "status", Json::Value{Json::objectValue}, m_limits.call_deadline);
+        auto status = co_await call_over(link, "status", Json::Value{Json::objectValue}, m_limits.heartbeat_deadline);
         if (status.has_value() != was_up) {
             log_event(status ? event::instance_up : event::instance_down, "instance=" + key);
             was_up = status.has_value();
@@ -184,7 +185,7 @@
     std::optional<group_member> old;
     std::uint64_t term = 0;
     for (const auto* item : m_topology.members(service, database)) {
-        members.push_back(group_member{item->key, item->address, item->leaving_since.has_value()});
+        members.push_back(group_member{item->key, item->address, item->leaving_since || item->primary});
         term = std::max(term, item->term);
         if (planned && item->primary && item->leaving_since) {
             old = members.back();
--- a/src/cornellever/proxy/control.hpp
+++ b/src/cornellever/proxy/control.hpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds config_poll{500};
     std::chrono::milliseconds machines_poll{1000};
     std::chrono::milliseconds heartbeat{200};
+    std::chrono::milliseconds heartbeat_deadline{300};
     std::chrono::milliseconds judge_every{100};
     std::chrono::milliseconds call_deadline{400};
 };
--- a/src/cornellever/proxy/failover.hpp
+++ b/src/cornellever/proxy/failover.hpp
@@ -23,8 +23,11 @@
 struct group_member {
     std::string key;
     tcp::endpoint address;
-    /// Its machine is leaving: never chosen as primary.
-    bool leaving{false};
+    /// Not to lead while the others are a majority by themselves: its
+    /// machine is leaving, or it is the primary being replaced. A primary cut
+    /// off from its replicas has the longest log, by writes that nobody else
+    /// holds; chosen for it, it would lead again, still cut off.
+    bool avoided{false};
 };
 
 /// A stored record with the version the table gives it (0: no row yet).
@@ -63,7 +66,7 @@
     { group.promote(member, term, members) } -> std::same_as<asio::awaitable<result<void>>>;
 };
 
-/// How long another proxy's unfinished claim is respected.
+/// How long another proxy's claim is respected.
 inline constexpr auto default_claim_lease = std::chrono::milliseconds{2000};
 
 /// Most claims one run makes before leaving the next try to a later run.
@@ -161,8 +164,11 @@
         co_return "unknown_action";
     }
 
-    [[nodiscard]] bool respects_other_claim(const std::string& database, const versioned_record& row) {
-        if (row.record.phase != group_phase::promoting) {
+    /// Whether another proxy's change is to be left alone for now: one under
+    /// way, or one just finished whose primary this proxy has not heard yet.
+    [[nodiscard]] bool respects_other_claim(const std::string& database, const versioned_record& row,
+                                            std::uint64_t known_term) {
+        if (row.record.phase != group_phase::promoting && row.record.term <= known_term) {
             m_claims.erase(database);
             return false;
         }
@@ -182,7 +188,7 @@
             co_return "platform_unreachable";
         }
         const bool own_retry = now.claims > 1 && row->record == now.record;
-        if (!own_retry && respects_other_claim(now.database, *row)) {
+        if (!own_retry && respects_other_claim(now.database, *row, now.known_term)) {
             co_return "held_by_other";
         }
         now.record = group_record{std::max(row->record.term, now.known_term) + 1, group_phase::promoting, "", m_holder,
@@ -227,14 +233,14 @@
         co_return "majority_fenced";
     }
 
-    /// The longest log among the members that stay, when those alone are a
+    /// The longest log among the members not avoided, when those alone are a
     /// majority (and so hold every acknowledged write); else among all.
     [[nodiscard]] static group_member choose(std::span<const fenced_member> fenced, std::size_t enough) {
-        const auto stays = [](const fenced_member& item) { return !item.member.leaving; };
-        const bool only_staying = std::cmp_greater_equal(std::ranges::count_if(fenced, stays), enough);
+        const auto wanted = [](const fenced_member& item) { return !item.member.avoided; };
+        const bool only_wanted = std::cmp_greater_equal(std::ranges::count_if(fenced, wanted), enough);
         const fenced_member* best = nullptr;
         for (const auto& item : fenced) {
-            if ((stays(item) || !only_staying) && (best == nullptr || item.log_end > best->log_end)) {
+            if ((wanted(item) || !only_wanted) && (best == nullptr || item.log_end > best->log_end)) {
                 best = &item;
             }
         }
--- a/src/cornellever/proxy/planned_stop.hpp
+++ b/src/cornellever/proxy/planned_stop.hpp
@@ -21,8 +21,8 @@
 };
 
 /// Stops a proxy without cutting a request, following charts/drain.ini:
-/// transactions end first, while callers may still reconnect to finish
-/// theirs; then every connection ends after an answer, never before one.
+/// transactions end first, on the connections that began them; then every
+/// connection ends after an answer, never before one.
 class planned_stop {
 public:
     using clock = std::chrono::steady_clock;
--- a/src/cornellever/proxy/pool.cpp
+++ b/src/cornellever/proxy/pool.cpp
@@ -21,11 +21,11 @@
 
 asio::awaitable<result<pool::lease>> pool::acquire(std::chrono::milliseconds wait) {
     if (auto connection = take_idle()) {
-        co_return connection;
+        co_return lend(std::move(connection));
     }
     if (m_open < m_budget) {
         ++m_open;
-        co_return std::make_unique<rpc::channel>(m_executor, m_peer);
+        co_return lend(std::make_unique<rpc::channel>(m_executor, m_peer));
     }
     if (m_waiters.size() >= m_max_waiters) {
         log_event(event::pool_exhausted,
@@ -47,6 +47,17 @@
                                    std::to_string(wait.count()) + " ms");
 }
 
+pool::lease pool::lend(lease connection) {
+    m_in_use.insert(connection.get());
+    return connection;
+}
+
+void pool::break_in_use() {
+    for (auto* connection : m_in_use) {
+        connection->close();
+    }
+}
+
 pool::lease pool::take_idle() {
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
@@ -88,6 +99,7 @@
 }
 
 void pool::release(lease connection) {
+    m_in_use.erase(connection.get());
     if (!connection->usable() || m_open > m_budget || m_retired) {
         // A connection whose last call failed may still carry that call's
         // transaction on the backend; closing it makes the backend roll back.
@@ -104,6 +116,7 @@
 }
 
 void pool::discard(lease connection) {
+    m_in_use.erase(connection.get());
     connection->close();
     --m_open;
     hand_over();
@@ -121,7 +134,7 @@
         }
         auto* first = m_waiters.front();
         m_waiters.pop_front();
-        first->granted = std::move(next);
+        first->granted = lend(std::move(next));
         first->timer.cancel();
     }
 }
--- a/src/cornellever/proxy/pool.hpp
+++ b/src/cornellever/proxy/pool.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include <jsoncpp/json/value.h>
@@ -47,6 +48,10 @@
     /// whole deadline to find out.
     void suspect_idle();
 
+    /// Cuts every connection in use: the instance was replaced while it did
+    /// not answer, and whoever waits for it would wait out a deadline.
+    void break_in_use();
+
     /// Sets a new budget; connections over it close as they come back.
     void resize(std::size_t budget);
 
@@ -64,6 +69,7 @@
     };
 
     [[nodiscard]] lease take_idle();
+    [[nodiscard]] lease lend(lease connection);
     void hand_over();
 
     asio::any_io_executor m_executor;
@@ -73,6 +79,7 @@
     std::size_t m_open{0};
     bool m_retired{false};
     std::vector<lease> m_idle;
+    std::set<rpc::channel*> m_in_use;
     std::deque<waiter*> m_waiters;
 };
 
--- a/src/cornellever/proxy/router.cpp
+++ b/src/cornellever/proxy/router.cpp
@@ -28,10 +28,10 @@
     , m_transactions{m_links, m_writes} {}
 
 void router::bind(rpc::server& rpc) {
-    rpc.on("execute", [this](const Json::Value& in, rpc::connection&) { return execute(in); });
-    rpc.on("begin", [this](const Json::Value& in, rpc::connection&) { return begin(in); });
-    rpc.on("commit", [this](const Json::Value& in, rpc::connection&) { return finish(in, true); });
-    rpc.on("rollback", [this](const Json::Value& in, rpc::connection&) { return finish(in, false); });
+    rpc.on("execute", [this](const Json::Value& in, rpc::connection& caller) { return execute(in, caller); });
+    rpc.on("begin", [this](const Json::Value& in, rpc::connection& caller) { return begin(in, caller); });
+    rpc.on("commit", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, true); });
+    rpc.on("rollback", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, false); });
     rpc.on("ready", [this](const Json::Value&, rpc::connection&) { return ready(); });
     rpc.on("dump", [this](const Json::Value&, rpc::connection&) -> answer { co_return describe(); });
 }
@@ -58,14 +58,14 @@
     return found;
 }
 
-answer router::execute(const Json::Value& in) {
+answer router::execute(const Json::Value& in, rpc::connection& caller) {
     auto request = decode_execute(in);
     if (!request) {
         co_return std::unexpected{request.error()};
     }
     const auto until = clock::now() + request->deadline;
     if (!request->transaction.empty()) {
-        co_return co_await m_transactions.execute(*request, until);
+        co_return co_await m_transactions.execute(*request, caller, until);
     }
     auto found = service_for(request->service, request->database);
     if (!found) {
@@ -96,7 +96,7 @@
     co_return out;
 }
 
-answer router::begin(const Json::Value& in) {
+answer router::begin(const Json::Value& in, rpc::connection& caller) {
     auto request = decode_begin(in);
     if (!request) {
         co_return std::unexpected{request.error()};
@@ -113,19 +113,19 @@
     if (auto allowed = check_repeatable(service, request->kind, request->request_id); !allowed) {
         co_return std::unexpected{allowed.error()};
     }
-    co_return co_await m_transactions.begin(service, *request, clock::now() + request->deadline);
+    co_return co_await m_transactions.begin(service, *request, caller, clock::now() + request->deadline);
 }
 
-answer router::finish(const Json::Value& in, bool commit) {
+answer router::finish(const Json::Value& in, rpc::connection& caller, bool commit) {
     auto request = decode_finish(in);
     if (!request) {
         co_return std::unexpected{request.error()};
     }
     const auto until = clock::now() + default_request_deadline;
     if (commit) {
-        co_return co_await m_transactions.commit(*request, until);
+        co_return co_await m_transactions.commit(*request, caller, until);
     }
-    co_return co_await m_transactions.rollback(*request, until);
+    co_return co_await m_transactions.rollback(*request, caller, until);
 }
 
 answer router::ready() {
--- a/src/cornellever/proxy/router.hpp
+++ b/src/cornellever/proxy/router.hpp
@@ -53,9 +53,9 @@
     [[nodiscard]] Json::Value describe() const;
 
 private:
-    answer execute(const Json::Value& in);
-    answer begin(const Json::Value& in);
-    answer finish(const Json::Value& in, bool commit);
+    answer execute(const Json::Value& in, rpc::connection& caller);
+    answer begin(const Json::Value& in, rpc::connection& caller);
+    answer finish(const Json::Value& in, rpc::connection& caller, bool commit);
     answer ready();
     answer dispatch(const config::service& service, const execute_request& request, clock::time_point until);
     [[nodiscard]] result<const config::service*> service_for(const std::string& service,
--- a/src/cornellever/proxy/suspicion.hpp
+++ b/src/cornellever/proxy/suspicion.hpp
@@ -22,7 +22,7 @@
 inline constexpr auto isolation_timeout = std::chrono::milliseconds{1500};
 
 /// The same when the primary does not answer this proxy either.
-inline constexpr auto silence_timeout = std::chrono::milliseconds{600};
+inline constexpr auto silence_timeout = std::chrono::milliseconds{400};
 
 /// Judges the primary of one database from what its members last said.
 ///
--- a/src/cornellever/proxy/topology.cpp
+++ b/src/cornellever/proxy/topology.cpp
@@ -28,6 +28,7 @@
                     view.primary = known->second.primary;
                     view.term = known->second.term;
                     view.position = known->second.position;
+                    view.refused = known->second.refused;
                     view.staleness_ms = known->second.staleness_ms;
                     view.heard_ms = known->second.heard_ms;
                     view.leaving_since = known->second.leaving_since;
@@ -42,10 +43,14 @@
 
 void topology::record(const heartbeat& beat, std::chrono::steady_clock::time_point now) {
     const auto found = m_instances.find(beat.key);
-    if (found == m_instances.end() || !beat.answered) {
+    if (found == m_instances.end()) {
         return;
     }
     auto& view = found->second;
+    view.refused = beat.refused;
+    if (!beat.answered) {
+        return;
+    }
     view.primary = beat.primary;
     view.term = beat.term;
     view.position = beat.position;
@@ -102,6 +107,11 @@
     return out;
 }
 
+const instance_view* topology::find(std::string_view key) const {
+    const auto found = m_instances.find(key);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
 std::vector<const instance_view*> topology::members(std::string_view service, std::string_view database) const {
     std::vector<const instance_view*> out;
     for (const auto& [key, view] : m_instances) {
--- a/src/cornellever/proxy/topology.hpp
+++ b/src/cornellever/proxy/topology.hpp
@@ -18,7 +18,7 @@
 namespace cornellever::proxy {
 
 /// How long an instance counts as healthy after its last good heartbeat.
-inline constexpr auto health_timeout = std::chrono::milliseconds{1000};
+inline constexpr auto health_timeout = std::chrono::milliseconds{800};
 
 /// How long a leaving primary still gets new work while it hands over.
 inline constexpr auto leaving_grace = std::chrono::milliseconds{3000};
@@ -27,6 +27,8 @@
 struct heartbeat {
     std::string key;
     bool answered{false};
+    /// The machine refused the connection: nothing listens there any more.
+    bool refused{false};
     bool primary{false};
     std::uint64_t term{0};
     /// The last position applied.
@@ -46,6 +48,7 @@
     tcp::endpoint address;
     int connections{0};
     bool primary{false};
+    bool refused{false};
     std::uint64_t term{0};
     std::uint64_t position{0};
     std::int64_t staleness_ms{0};
@@ -61,7 +64,7 @@
     }
 
     [[nodiscard]] bool healthy(std::chrono::steady_clock::time_point now) const {
-        return last_heard.time_since_epoch().count() != 0 && now - last_heard < health_timeout;
+        return !refused && last_heard.time_since_epoch().count() != 0 && now - last_heard < health_timeout;
     }
 };
 
@@ -94,6 +97,9 @@
                                                              write_mark mark, std::string_view zone,
                                                              std::chrono::steady_clock::time_point now) const;
 
+    /// The instance at `key`, or null.
+    [[nodiscard]] const instance_view* find(std::string_view key) const;
+
     /// Every instance of a database.
     [[nodiscard]] std::vector<const instance_view*> members(std::string_view service, std::string_view database) const;
 
--- a/src/cornellever/proxy/transaction_table.cpp
+++ b/src/cornellever/proxy/transaction_table.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 
-#include <boost/uuid/random_generator.hpp>
-#include <boost/uuid/uuid_io.hpp>
-
 #include "cornellever/core/log.hpp"
 
 namespace cornellever::proxy {
@@ -13,10 +10,6 @@
 
 constexpr auto retry_pause = std::chrono::milliseconds{20};
 
-std::string new_transaction_id() {
-    return to_string(boost::uuids::random_generator{}());
-}
-
 /// Whether only the record of request ids can tell what became of a commit:
 /// its outcome is unknown, or its id was found taken.
 bool needs_record(const error& failure) noexcept {
@@ -25,14 +18,27 @@
 
 std::unexpected<error> not_open(const std::string& id) {
     return fail(errc::not_run,
-                "transaction " + id + " is not open on this proxy: it ended, was rolled back, or another proxy has it");
+                "transaction " + id +
+                    " is not open on this connection: it ended, was rolled back, or is another caller's");
 }
 
 } // namespace
 
-result<transaction_table::pinned*> transaction_table::find(const std::string& id) {
+/// Lives as long as the caller's connection and takes its transactions along.
+struct transaction_table::caller_state : rpc::connection_state {
+    caller_state(transaction_table& table, std::uint64_t caller) : m_table{table}, m_caller{caller} {}
+    ~caller_state() override { m_table.abandon_all_of(m_caller); }
+    caller_state(const caller_state&) = delete;
+    caller_state& operator=(const caller_state&) = delete;
+
+private:
+    transaction_table& m_table;
+    std::uint64_t m_caller;
+};
+
+result<transaction_table::pinned*> transaction_table::find(const std::string& id, const rpc::connection& caller) {
     const auto found = m_open.find(id);
-    if (found == m_open.end()) {
+    if (found == m_open.end() || found->second.caller != caller.id) {
         return not_open(id);
     }
     if (found->second.busy) {
@@ -41,8 +47,8 @@
     return &found->second;
 }
 
-result<transaction_table::pinned> transaction_table::take(const std::string& id) {
-    auto held = find(id);
+result<transaction_table::pinned> transaction_table::take(const std::string& id, const rpc::connection& caller) {
+    auto held = find(id, caller);
     if (!held) {
         return std::unexpected{held.error()};
     }
@@ -51,10 +57,18 @@
     return out;
 }
 
-asio::awaitable<result<transaction_table::pinned>> transaction_table::open_on(const instance_view& primary,
-                                                                              const begin_request& request,
-                                                                              std::chrono::milliseconds idle_limit,
-                                                                              clock::time_point until) {
+void transaction_table::abandon_all_of(std::uint64_t caller) {
+    std::erase_if(m_open, [&](const auto& item) {
+        const auto& [id, held] = item;
+        if (held.caller == caller) {
+            log_event(event::transaction_abandoned, "transaction=" + id + " reason=caller_gone");
+        }
+        return held.caller == caller;
+    });
+}
+
+asio::awaitable<result<transaction_table::pinned>>
+transaction_table::open_on(const instance_view& primary, const begin_request& request, clock::time_point until) {
     auto acquired = co_await m_links.acquire(primary, std::min(m_links.limits().pool_wait, time_left(until)));
     if (!acquired) {
         co_return std::unexpected{acquired.error()};
@@ -69,10 +83,11 @@
         const bool refused = ran_not(begun.error().code);
         co_return std::unexpected{refused ? begun.error() : error{errc::unavailable, begun.error().message, {}}};
     }
-    co_return pinned{primary, std::move(*acquired), request.request_id, idle_limit, clock::now()};
+    co_return pinned{0, primary, std::move(*acquired), request.request_id, {}, clock::now()};
 }
 
-answer transaction_table::begin(const config::service& service, const begin_request& request, clock::time_point until) {
+answer transaction_table::begin(const config::service& service, const begin_request& request, rpc::connection& caller,
+                                clock::time_point until) {
     if (!request.request_id.empty()) {
         auto token = request.session;
         auto earlier =
@@ -86,9 +101,14 @@
         if (!target) {
             co_return std::unexpected{target.error()};
         }
-        auto opened = co_await open_on(*target, request, service.transaction_idle, until);
+        auto opened = co_await open_on(*target, request, until);
         if (opened) {
-            const auto id = new_transaction_id();
+            opened->caller = caller.id;
+            opened->idle_limit = service.transaction_idle;
+            if (!caller.state) {
+                caller.state = std::make_unique<caller_state>(*this, caller.id);
+            }
+            const auto id = "t" + std::to_string(m_next_id++);
             m_open.emplace(id, std::move(*opened));
             Json::Value out;
             out["transaction"] = id;
@@ -103,8 +123,9 @@
     }
 }
 
-answer transaction_table::execute(const execute_request& request, clock::time_point until) {
-    auto held = find(request.transaction);
+answer transaction_table::execute(const execute_request& request, const rpc::connection& caller,
+                                  clock::time_point until) {
+    auto held = find(request.transaction, caller);
     if (!held) {
         co_return std::unexpected{held.error()};
     }
@@ -131,8 +152,9 @@
     co_return std::unexpected{out.error()};
 }
 
-answer transaction_table::commit(const finish_request& request, clock::time_point until) {
-    auto taken = take(request.transaction);
+answer transaction_table::commit(const finish_request& request, const rpc::connection& caller,
+                                 clock::time_point until) {
+    auto taken = take(request.transaction, caller);
     if (!taken) {
         co_return std::unexpected{taken.error()};
     }
@@ -187,8 +209,9 @@
     co_return result<void>{};
 }
 
-answer transaction_table::rollback(const finish_request& request, clock::time_point until) {
-    auto taken = take(request.transaction);
+answer transaction_table::rollback(const finish_request& request, const rpc::connection& caller,
+                                   clock::time_point until) {
+    auto taken = take(request.transaction, caller);
     if (!taken) {
         co_return std::unexpected{taken.error()};
     }
@@ -214,7 +237,7 @@
         if (abandoned) {
             // Erasing closes the pinned connection, so the backend rolls the
             // transaction back before anyone else can get that connection.
-            log_event(event::transaction_abandoned, "transaction=" + id + " instance=" + held.primary.key);
+            log_event(event::transaction_abandoned, "transaction=" + id + " reason=idle");
         }
         return abandoned;
     });
