--- /dev/null
+++ b/tests/system/at_most_once.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Story: buyers reserve under request ids and ask again, on whichever proxy,
+# until they are told. Meanwhile the primary runs commits and loses their
+# answers, answers come late, a proxy dies in the middle of transactions and
+# comes back, and the primary is killed. Each reservation happened exactly
+# once or not at all, as told; no transaction is torn or mixed.
+set -euo pipefail
+source "$(dirname "$0")/common.sh" "$1" "$2" 127.0.35.1 20
+verify_start orders 9000 "${SEED:-7}"
+primary=${CLUSTER_BACKEND[orders/walu]}
+sleep 1
+for _ in 1 2 3; do cluster_fault "$primary" '{"lose_answers":4}'; sleep 0.3; done
+cluster_fault "$primary" '{"delay_answers_ms":150}'
+sleep 0.5
+cluster_fault "$primary" '{"delay_answers_ms":0}'
+kill -KILL "${CLUSTER_PIDS[10]}"
+sleep 0.7
+cluster_spawn "$work/logs/proxy-a2.log" "$bin" proxy --name proxy-a --zone walu --listen "$CLUSTER_PROXY_A" --platform "$CLUSTER_PLATFORM"
+sleep 1
+kill -KILL "${CLUSTER_BACKEND_PID[orders/walu]}"
+verify_clean
+[ "$(verify_figure 'done')" -gt 100 ] || fail "too few requests were served to prove anything"
+echo "ok: every request took effect once or not at all, as told"
--- /dev/null
+++ b/tests/unit/confirmer.cpp
@@ -0,0 +1,107 @@
+#include <array>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cornellever/proxy/confirmer.hpp"
+#include "cornellever/rpc/server.hpp"
+#include "fake_peer.hpp"
+
+using namespace cornellever;
+using namespace cornellever::proxy;
+using namespace cornellever::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A replica that holds a log up to `held` in `term`.
+struct fake_replica {
+    explicit fake_replica(asio::io_context& io) : server{io.get_executor()} {
+        server.on("await_received", [this](const Json::Value& in, rpc::connection&) { return confirm(in); });
+        self = {"r", server.listen(tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}).value()};
+        server.start();
+    }
+
+    asio::awaitable<result<Json::Value>> confirm(const Json::Value& in) {
+        ++asked;
+        const auto wanted = write_mark{in["term"].asUInt64(), in["position"].asUInt64()};
+        if (wanted.term < held.term) {
+            co_return fail(errc::fenced, "keeps a later term");
+        }
+        if (wanted > held) {
+            co_await sleep_for(10ms);
+            co_return fail(errc::behind, "not received");
+        }
+        Json::Value out;
+        out["received"] = static_cast<Json::UInt64>(held.position);
+        co_return out;
+    }
+
+    rpc::server server;
+    confirming_replica self;
+    write_mark held;
+    std::size_t asked{0};
+};
+
+} // namespace
+
+// The old primary took a write, but every replica has promised a later term.
+// The write must not be acknowledged, and its caller need not wait long.
+BOOST_AUTO_TEST_CASE(a_write_of_an_old_term_is_never_confirmed) {
+    asio::io_context io;
+    fake_replica one{io};
+    fake_replica two{io};
+    one.self.key = "one";
+    one.held = two.held = {2, 50};
+    const std::array replicas{one.self, two.self};
+    confirmer subject{io.get_executor()};
+    run_coroutine(io, [&]() -> asio::awaitable<void> {
+        const auto started = std::chrono::steady_clock::now();
+        auto answer = co_await subject.confirm(replicas, {1, 40}, 1, 5s);
+        BOOST_REQUIRE(!answer.has_value());
+        BOOST_TEST((answer.error().code == errc::outcome_unknown));
+        BOOST_TEST((std::chrono::steady_clock::now() - started < 2s));
+    });
+}
+
+// One replica is gone for good; the other's word is enough.
+BOOST_AUTO_TEST_CASE(one_replica_of_two_is_enough) {
+    asio::io_context io;
+    fake_replica alive{io};
+    alive.held = {1, 7};
+    const std::array replicas{confirming_replica{"dead", {asio::ip::make_address("127.0.0.1"), 9}}, alive.self};
+    confirmer subject{io.get_executor()};
+    run_coroutine(io, [&]() -> asio::awaitable<void> {
+        auto confirmed = co_await subject.confirm(replicas, {1, 7}, 1, 2s);
+        BOOST_TEST(confirmed.has_value());
+        auto ahead = co_await subject.confirm(replicas, {1, 8}, 1, 100ms);
+        BOOST_TEST(!ahead.has_value());
+    });
+}
+
+// Many callers write at once: one question confirms all that the replica has.
+BOOST_AUTO_TEST_CASE(one_answer_confirms_every_write_it_covers) {
+    asio::io_context io;
+    fake_replica replica{io};
+    replica.held = {1, 100};
+    const std::array replicas{replica.self};
+    confirmer subject{io.get_executor()};
+    std::size_t confirmed = 0;
+    std::size_t left = 50;
+    run_coroutine(io, [&]() -> asio::awaitable<void> {
+        for (std::uint64_t position = 1; position <= 50; ++position) {
+            asio::co_spawn(
+                io,
+                [&, position]() -> asio::awaitable<void> {
+                    auto answer = co_await subject.confirm(replicas, {1, position}, 1, 2s);
+                    confirmed += answer ? 1 : 0;
+                    --left;
+                },
+                asio::detached);
+        }
+        while (left > 0) {
+            co_await sleep_for(1ms);
+        }
+        BOOST_TEST(confirmed == 50u);
+        BOOST_TEST(replica.asked < 5u);
+    });
+}
