--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,4 +4,4 @@
 top=$(cd "$(dirname "$0")/.." && pwd)
 source "$top/scripts/setup.sh"
 cd "$top/build"
-ctest --output-on-failure --timeout 300
+ctest --output-on-failure --timeout 600
--- a/src/cornellever/config/json.cpp
+++ b/src/cornellever/config/json.cpp
@@ -89,7 +89,9 @@
     return out;
 }
 
-result<cluster> from_json(const Json::Value& value) {
+namespace {
+
+result<cluster> cluster_from_json(const Json::Value& value) {
     if (!value.isObject() || !value["services"].isArray()) {
         return fail(errc::bad_request, "configuration needs a services array");
     }
@@ -108,4 +110,16 @@
     return out;
 }
 
+} // namespace
+
+result<cluster> from_json(const Json::Value& value) {
+    // A stored row of another shape must not take the process down: jsoncpp
+    // throws when a field has another type than the one asked for.
+    try {
+        return cluster_from_json(value);
+    } catch (const Json::Exception& problem) {
+        return fail(errc::bad_request, std::string{"stored configuration: "} + problem.what());
+    }
+}
+
 } // namespace cornellever::config
--- a/src/cornellever/core/chart.cpp
+++ b/src/cornellever/core/chart.cpp
@@ -68,6 +68,7 @@
 
 std::vector<std::string> chart::actions() const {
     std::vector<std::string> out;
+    out.reserve(m_states.size());
     for (const auto& [name, item] : m_states) {
         out.push_back(item.action);
     }
--- a/src/cornellever/ini/reader.cpp
+++ b/src/cornellever/ini/reader.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// The longest line that fits inih's buffer (INI_MAX_LINE, less line end).
+constexpr std::size_t max_line_bytes = 198;
+
 /// Feeds inih one line at a time from `lines`, starting at `next`, after an
 /// optional synthetic section header that restores the section in force.
 struct line_feed {
@@ -65,7 +68,31 @@
     if (close == std::string_view::npos) {
         return {};
     }
-    return std::string{line.substr(first + 1, close - first - 1)};
+    auto name = std::string{line.substr(first + 1, close - first - 1)};
+    // inih ends a line at an inline comment, so this header has no end for it.
+    const bool has_comment = name.find(" ;") != std::string::npos || name.find("\t;") != std::string::npos;
+    return has_comment ? std::string{} : name;
+}
+
+/// What keeps inih from reading a line as it stands; empty for nothing.
+std::string_view unreadable(std::string_view line) {
+    if (line.size() > max_line_bytes) {
+        return "the line is too long";
+    }
+    const auto is_control = [](char c) { return static_cast<unsigned char>(c) < ' ' && c != '\t' && c != '\r'; };
+    return std::ranges::any_of(line, is_control) ? "the line holds a control character" : "";
+}
+
+/// Reports the lines that inih would cut or misread, and blanks them.
+void take_out_unreadable(std::vector<std::string>& lines, std::string_view file, document& into) {
+    for (std::size_t index = 0; index < lines.size(); ++index) {
+        const auto reason = unreadable(lines[index]);
+        if (!reason.empty()) {
+            into.findings.push_back(
+                finding{origin{std::string{file}, static_cast<int>(index) + 1}, std::string{reason}});
+            lines[index].clear();
+        }
+    }
 }
 
 void record_sections(const std::vector<std::string>& lines, std::string_view file, document& into) {
@@ -111,7 +138,8 @@
 }
 
 void read_text(std::string_view text, std::string_view file, document& into) {
-    const auto lines = split_lines(text);
+    auto lines = split_lines(text);
+    take_out_unreadable(lines, file, into);
     record_sections(lines, file, into);
     std::size_t start = 0;
     std::string section;
@@ -125,7 +153,13 @@
             return;
         }
         // inih counts the synthetic header as a line of its own.
-        const auto offset = static_cast<std::size_t>(failed_at) - (section.empty() ? 1 : 2);
+        const std::size_t first_line = section.empty() ? 1 : 2;
+        if (static_cast<std::size_t>(failed_at) < first_line) {
+            // inih refused the synthetic header itself: go on without it.
+            section.clear();
+            continue;
+        }
+        const auto offset = static_cast<std::size_t>(failed_at) - first_line;
         const auto bad = start + offset;
         // inih goes on past the error; what follows is read again by the next pass.
         keep_before(pass, bad, into);
--- a/src/cornellever/proxy/backend_group.cpp
+++ b/src/cornellever/proxy/backend_group.cpp
@@ -8,7 +8,7 @@
 /// What the parallel calls of one `fence` gathered. Shared with them, since
 /// a straggler may end after the caller has gone on.
 struct backend_group::fencing {
-    explicit fencing(asio::any_io_executor executor) : wake{std::move(executor)} {}
+    explicit fencing(const asio::any_io_executor& executor) : wake{executor} {}
 
     std::vector<fenced_member> fenced;
     bool superseded{false};
--- a/src/cornellever/proxy/failover.hpp
+++ b/src/cornellever/proxy/failover.hpp
@@ -115,7 +115,10 @@
     /// instance reported.
     asio::awaitable<failover_outcome> run(std::string database, std::vector<group_member> members,
                                           std::optional<group_member> old, std::uint64_t known_term) {
-        attempt now{std::move(database), std::move(members), std::move(old), known_term, {}, 0, {}, {}, 0};
+        attempt now{.database = std::move(database),
+                    .members = std::move(members),
+                    .old = std::move(old),
+                    .known_term = known_term};
         std::string state = m_steps.start();
         std::string event;
         while (!m_steps.action(state).empty()) {
@@ -131,12 +134,12 @@
         std::string database;
         std::vector<group_member> members;
         std::optional<group_member> old;
-        std::uint64_t known_term;
-        group_record record;
-        std::uint64_t version;
-        std::vector<fenced_member> fenced;
-        group_member candidate;
-        int claims;
+        std::uint64_t known_term{0};
+        group_record record{};
+        std::uint64_t version{0};
+        std::vector<fenced_member> fenced{};
+        group_member candidate{};
+        int claims{0};
         bool led{false};
     };
 
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -126,7 +126,7 @@
     proxy::planned_stop stop{rpc, traffic, drain_steps};
     auto signals = on_stop_signal(io, [&] {
         log_event(event::process_stopping, "role=proxy in_flight=" + std::to_string(rpc.in_flight()));
-        asio::co_spawn(io, stop.run(), [&](std::exception_ptr) {
+        asio::co_spawn(io, stop.run(), [&](const std::exception_ptr&) {
             log_event(event::process_stopped, "role=proxy in_flight=" + std::to_string(rpc.in_flight()) +
                                                   " transactions=" + std::to_string(traffic.open_transactions()));
             control_io.stop();
--- /dev/null
+++ b/tests/fuzz/request.cpp
@@ -0,0 +1,42 @@
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "cornellever/config/json.hpp"
+#include "cornellever/proxy/group_record.hpp"
+#include "cornellever/proxy/request.hpp"
+#include "cornellever/rpc/envelope.hpp"
+
+using namespace cornellever;
+
+namespace {
+
+/// An error of a decoder always says that nothing ran, and why.
+template <typename T>
+void check(const result<T>& decoded) {
+    if (!decoded && (!ran_not(decoded.error().code) || decoded.error().message.empty())) {
+        std::abort();
+    }
+}
+
+} // namespace
+
+// Whatever a caller sends: a request, or an error that says "not run"; never
+// an exception. The same for what a backend or the platform's rows hold.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const std::string_view text{reinterpret_cast<const char*>(data), size};
+    const auto request = rpc::decode_request(text);
+    check(request);
+    if (request) {
+        check(proxy::decode_execute(request->params));
+        check(proxy::decode_begin(request->params));
+        check(proxy::decode_finish(request->params));
+        check(proxy::group_record_from_json(request->params));
+        check(config::from_json(request->params));
+    }
+    const auto answer = rpc::parse_json(text);
+    if (rpc::answers(answer, 1)) {
+        (void)rpc::decode_response(*answer);
+    }
+    return 0;
+}
--- a/tests/unit/config_check.cpp
+++ b/tests/unit/config_check.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -68,6 +69,22 @@
     BOOST_TEST(loaded.config.services[0].databases[0].instances[0].connections == 8);
 }
 
+// Found by the fuzzer: a control character in a section header kept the
+// reader restoring that section for ever; and a long line was cut without a
+// word, so that an operator's list of zones lost its end.
+BOOST_AUTO_TEST_CASE(lines_that_cannot_be_read_are_findings) {
+    ini::document document;
+    const std::string text = std::string{"[a"} + '\0' + "b]\nbroken\nx = 1\n[c ;d]\nbroken\ny = " +
+                             std::string(300, 'z') + "\nbroken\n";
+    ini::read_text(text, "f.ini", document);
+    std::set<int> lines;
+    for (const auto& item : document.findings) {
+        lines.insert(item.where.line);
+    }
+    const std::set<int> expected{1, 2, 4, 5, 6, 7};
+    BOOST_TEST(lines == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(syntax_errors_after_the_first_are_still_found) {
     ini::document document;
     ini::read_text("[a]\nx = 1\nbroken\ny = 2\nalso broken\n[b]\nz = 3\n", "f.ini", document);
