Configuration: stale folders refused, fetch and status, peers in an outage

Cause: `ctl apply` read the version in force and overwrote it, so of two operators who changed the same version an hour apart, the second silently took back the first one's change: an accepted configuration reverted. And a proxy whose machine was replaced while the platform was down had nothing to serve with.

A proxy asks its peers (`[proxy] peers`) for the configuration while the platform does not answer; the version decides. Names are checked (the fuzzer found a zone that read back as a comment).

Ruled out: merging both operators' changes by itself (one of them is usually wrong); locking a version for an operator (a seasonal operator goes home with the lock).

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -71,9 +71,9 @@
 
   set -- $zones
   cluster_spawn "$work/logs/proxy-a.log" "$bin" proxy --name proxy-a --zone "$1" --listen "$CLUSTER_PROXY_A" \
-    --platform "$CLUSTER_PLATFORM"
+    --platform "$CLUSTER_PLATFORM" --peers "$CLUSTER_PROXY_B"
   cluster_spawn "$work/logs/proxy-b.log" "$bin" proxy --name proxy-b --zone "$2" --listen "$CLUSTER_PROXY_B" \
-    --platform "$CLUSTER_PLATFORM"
+    --platform "$CLUSTER_PLATFORM" --peers "$CLUSTER_PROXY_A"
 
   cluster_wait_for "the platform" 50 "$bin" ctl call "$CLUSTER_PLATFORM" dump || return 1
   local address
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -11,7 +11,7 @@
 cd "$top"
 source scripts/clang16.sh
 flags=("${CLANG16_FLAGS[@]}" -O1 -g -Isrc -fsanitize=address,undefined -fno-sanitize-recover=undefined)
-sources=(src/cornellever/config/json.cpp src/cornellever/config/load.cpp src/cornellever/config/model.cpp
+sources=(src/cornellever/config/ini_text.cpp src/cornellever/config/json.cpp src/cornellever/config/load.cpp src/cornellever/config/model.cpp
   src/cornellever/core/asio.cpp src/cornellever/core/error.cpp src/cornellever/ini/reader.cpp
   src/cornellever/proxy/group_record.cpp src/cornellever/proxy/request.cpp src/cornellever/proxy/session_token.cpp
   src/cornellever/rpc/envelope.cpp)
--- a/src/cornellever/config/load.cpp
+++ b/src/cornellever/config/load.cpp
@@ -1,9 +1,12 @@
 #include "cornellever/config/load.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
 #include <map>
 #include <set>
+#include <span>
 
 #include "cornellever/config/model.hpp"
 #include "cornellever/core/asio.hpp"
@@ -52,6 +55,12 @@
     return items;
 }
 
+/// Whether `text` can be a name: it is used in keys, sections and logs.
+bool is_name(std::string_view text) {
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-'; };
+    return !text.empty() && std::ranges::all_of(text, allowed);
+}
+
 bool parse_int(std::string_view text, std::int64_t& out) {
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
     return ec == std::errc{} && end == text.data() + text.size();
@@ -101,12 +110,17 @@
     }
 
     void check_section(const ini::entry& header) {
-        const auto [kind, name] = split_section(header.section);
+        const auto section = split_section(header.section);
+        const auto& [kind, name] = section;
         if (kind == "instance" && !name.empty()) {
             instance_path path;
             if (!split_instance_path(name, path)) {
                 report(header.where, "instance name '" + name + "' must be SERVICE/DATABASE/NAME");
+            } else {
+                check_names(header.where, "name", std::array{path.service, path.database, path.instance});
             }
+        } else if (kind == "service" && !name.empty()) {
+            check_names(header.where, "service", std::span{&name, 1});
         }
     }
 
@@ -146,6 +160,15 @@
         return true;
     }
 
+    /// Reports each of `names` that cannot be one.
+    void check_names(const ini::origin& where, std::string_view what, std::span<const std::string> names) {
+        for (const auto& name : names) {
+            if (!is_name(name)) {
+                report(where, std::string{what} + " '" + name + "' may hold only letters, digits, '.', '_' and '-'");
+            }
+        }
+    }
+
     bool read_number(const ini::entry& item, std::int64_t low, std::int64_t high, std::int64_t& out) {
         if (!parse_int(item.value, out) || out < low || out > high) {
             report(item.where, "'" + item.key + "' must be a whole number from " + std::to_string(low) + " to " +
@@ -161,8 +184,10 @@
         }
         if (item.key == "name") {
             m_out.config.name = item.value;
+            check_names(item.where, "name", std::span{&item.value, 1});
         } else if (item.key == "zones") {
             m_out.config.zones = split_list(item.value);
+            check_names(item.where, "zone", m_out.config.zones);
             m_zones_where = item.where;
         } else {
             report(item.where, "unknown key '" + item.key + "' in [cluster]: expected name or zones");
@@ -193,6 +218,7 @@
             }
         } else if (item.key == "non_repeatable") {
             pending.value.non_repeatable = split_list(item.value);
+            check_names(item.where, "kind of request", pending.value.non_repeatable);
         } else {
             report(item.where, "unknown key '" + item.key + "' in [service " + name +
                                    "]: expected max_staleness_ms, replica_wait_ms, transaction_idle_ms or "
--- a/src/cornellever/ctl/main.cpp
+++ b/src/cornellever/ctl/main.cpp
@@ -1,12 +1,16 @@
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <optional>
 
 #include <tclap/CmdLine.h>
 
+#include "cornellever/config/ini_text.hpp"
 #include "cornellever/config/load.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
 #include "cornellever/ctl/apply.hpp"
+#include "cornellever/ctl/folder_base.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/envelope.hpp"
 
@@ -15,6 +19,7 @@
 namespace {
 
 constexpr auto call_deadline = std::chrono::milliseconds{5000};
+constexpr auto in_force_limit = std::chrono::milliseconds{10'000};
 
 /// Exit statuses of `ctl`.
 enum exit_status : int { ok = 0, refused = 1, usage = 2, unreachable = 3 };
@@ -63,37 +68,120 @@
     return ok;
 }
 
-int run_apply(const std::string& folder, const std::string& platform, std::optional<std::uint64_t> expected) {
-    const auto loaded = config::load_folder(folder);
+/// Prints a refusal of the platform and says what to do about a conflict.
+int print_refusal(const error& refusal) {
+    std::printf("refused (%s): %s\n", std::string{to_string(refusal.code)}.c_str(), refusal.message.c_str());
+    if (refusal.code == errc::conflict) {
+        std::printf("another operator applied a configuration meanwhile: fetch theirs, make your change there, "
+                    "then apply again\n");
+    }
+    return refusal.code == errc::unavailable ? unreachable : refused;
+}
+
+bool parse_all(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
+    for (const auto& text : texts) {
+        tcp::endpoint where;
+        if (!parse_endpoint(text, where)) {
+            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
+            return false;
+        }
+        out.push_back(where);
+    }
+    return true;
+}
+
+/// What `apply` was told on the command line.
+struct apply_options {
+    std::string folder;
+    tcp::endpoint platform;
+    std::optional<std::uint64_t> expected;
+    std::vector<tcp::endpoint> proxies;
+};
+
+int run_apply(const apply_options& options) {
+    const auto loaded = config::load_folder(options.folder);
     if (const int status = report(loaded); status != ok) {
         return status;
     }
-    tcp::endpoint where;
-    if (!parse_endpoint(platform, where)) {
-        std::fprintf(stderr, "--platform must be IP:PORT\n");
-        return usage;
+    std::optional<ctl::change_base> base;
+    if (options.expected) {
+        base = ctl::change_base{*options.expected, true};
+    } else if (const auto noted = ctl::read_base(options.folder); noted) {
+        base = ctl::change_base{*noted, false};
     }
-    auto version = ctl::apply(where, loaded.config, expected);
+    const auto version = ctl::apply(options.platform, loaded.config, base);
     if (!version) {
-        std::printf("refused (%s): %s\n", std::string{to_string(version.error().code)}.c_str(),
-                    version.error().message.c_str());
-        if (version.error().code == errc::conflict) {
-            std::printf("another operator applied a configuration meanwhile: check theirs, then apply again\n");
-        }
-        return version.error().code == errc::unavailable ? unreachable : refused;
+        return print_refusal(version.error());
     }
     std::printf("applied: version %llu\n", static_cast<unsigned long long>(*version));
+    if (auto noted = ctl::write_base(options.folder, *version); !noted) {
+        std::fprintf(stderr, "%s: the next apply of this folder needs --expect-version %llu\n",
+                     noted.error().message.c_str(), static_cast<unsigned long long>(*version));
+    }
+    if (options.proxies.empty()) {
+        return ok;
+    }
+    const auto took = ctl::await_in_force(options.proxies, *version, in_force_limit);
+    if (!took) {
+        std::printf("applied, but %s\n", took.error().message.c_str());
+        return unreachable;
+    }
+    std::printf("in force on %zu prox%s after %lld ms\n", options.proxies.size(),
+                options.proxies.size() == 1 ? "y" : "ies", static_cast<long long>(took->count()));
+    return ok;
+}
+
+int run_fetch(const std::filesystem::path& folder, const tcp::endpoint& platform) {
+    std::error_code ec;
+    if (std::filesystem::exists(folder, ec) && !std::filesystem::is_empty(folder, ec)) {
+        std::fprintf(stderr, "%s is not empty: fetch into a new folder\n", folder.c_str());
+        return usage;
+    }
+    const auto config = ctl::fetch(platform);
+    if (!config) {
+        return print_refusal(config.error());
+    }
+    std::filesystem::create_directories(folder, ec);
+    std::ofstream out{folder / "00-applied.ini", std::ios::trunc};
+    out << config::to_ini(*config);
+    out.flush();
+    if (!out || !ctl::write_base(folder, config->version)) {
+        std::fprintf(stderr, "cannot write into %s\n", folder.c_str());
+        return refused;
+    }
+    std::printf("fetched: version %llu into %s\n", static_cast<unsigned long long>(config->version), folder.c_str());
     return ok;
 }
 
+int run_status(const tcp::endpoint& platform, const std::vector<tcp::endpoint>& proxies) {
+    const auto config = ctl::fetch(platform);
+    if (config) {
+        std::printf("applied: version %llu\n", static_cast<unsigned long long>(config->version));
+    } else {
+        std::printf("platform: %s\n", config.error().message.c_str());
+    }
+    bool all = config.has_value();
+    for (const auto& proxy : proxies) {
+        const auto version = ctl::version_in_force(proxy);
+        std::printf("%s: %s\n", to_string(proxy).c_str(),
+                    version ? ("version " + std::to_string(*version)).c_str() : version.error().message.c_str());
+        all = all && version && *version == config->version;
+    }
+    return all ? ok : refused;
+}
+
 } // namespace
 
 int ctl_main(std::span<char*> args) {
-    TCLAP::CmdLine cmd{"Operators' command line: check, apply, dump, call", ' ', "0.1"};
-    TCLAP::UnlabeledValueArg<std::string> command{"command", "check, apply, dump or call", true, "", "command", cmd};
+    TCLAP::CmdLine cmd{"Operators' command line: check, apply, fetch, status, dump, call", ' ', "0.1"};
+    TCLAP::UnlabeledValueArg<std::string> command{
+        "command", "check, apply, fetch, status, dump or call", true, "", "command", cmd};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "folder, or address [method [params]]", false, "operand",
                                                    cmd};
-    TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform (apply)", false, "", "address", cmd};
+    TCLAP::ValueArg<std::string> platform{
+        "", "platform", "IP:PORT of the platform (apply, fetch, status)", false, "", "address", cmd};
+    TCLAP::MultiArg<std::string> proxies{
+        "", "proxy", "IP:PORT of a proxy to wait for (apply) or ask (status); repeat for more", false, "address", cmd};
     TCLAP::ValueArg<std::uint64_t> expect{"", "expect-version", "apply only over this version", false, 0, "version",
                                           cmd};
     cmd.parse(static_cast<int>(args.size()), args.data());
@@ -103,18 +191,33 @@
     if (verb == "check" && words.size() == 1) {
         return report(config::load_folder(words[0]));
     }
-    if (verb == "apply" && words.size() == 1) {
-        return run_apply(words[0], platform.getValue(),
-                         expect.isSet() ? std::optional{expect.getValue()} : std::nullopt);
-    }
     if (verb == "dump" && words.size() == 1) {
         return print_call(words[0], "dump", "{}");
     }
     if (verb == "call" && (words.size() == 2 || words.size() == 3)) {
         return print_call(words[0], words[1], words.size() == 3 ? words[2] : "");
     }
-    std::fprintf(stderr, "usage: cornellever ctl check DIR | apply DIR --platform IP:PORT [--expect-version N]"
-                         " | dump IP:PORT | call IP:PORT METHOD [JSON]\n");
+    tcp::endpoint platform_at;
+    std::vector<tcp::endpoint> proxies_at;
+    if (!parse_all(proxies.getValue(), proxies_at)) {
+        return usage;
+    }
+    const bool has_platform = parse_endpoint(platform.getValue(), platform_at);
+    if (verb == "apply" && words.size() == 1 && has_platform) {
+        const auto expected = expect.isSet() ? std::optional{expect.getValue()} : std::nullopt;
+        return run_apply({words[0], platform_at, expected, proxies_at});
+    }
+    if (verb == "fetch" && words.size() == 1 && has_platform) {
+        return run_fetch(words[0], platform_at);
+    }
+    if (verb == "status" && words.empty() && has_platform) {
+        return run_status(platform_at, proxies_at);
+    }
+    std::fprintf(stderr, "usage: cornellever ctl check DIR\n"
+                         "       cornellever ctl apply DIR --platform IP:PORT [--expect-version N] [--proxy IP:PORT]\n"
+                         "       cornellever ctl fetch DIR --platform IP:PORT\n"
+                         "       cornellever ctl status --platform IP:PORT [--proxy IP:PORT]\n"
+                         "       cornellever ctl dump IP:PORT | call IP:PORT METHOD [JSON]\n");
     return usage;
 }
 
--- a/src/cornellever/proxy/answer.cpp
+++ b/src/cornellever/proxy/answer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cornellever/rpc/fields.hpp"
+
 namespace cornellever::proxy {
 
 Json::Value statement_payload(const execute_request& request) {
@@ -30,7 +32,7 @@
 }
 
 write_mark mark_from(const Json::Value& backend) {
-    return write_mark{backend["term"].asUInt64(), backend["position"].asUInt64()};
+    return write_mark{rpc::uint_field(backend, "term"), rpc::uint_field(backend, "position")};
 }
 
 std::chrono::milliseconds time_left(std::chrono::steady_clock::time_point until) {
--- a/src/cornellever/proxy/backend_group.cpp
+++ b/src/cornellever/proxy/backend_group.cpp
@@ -2,6 +2,7 @@
 
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/rpc/channel.hpp"
+#include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::proxy {
 
@@ -40,7 +41,7 @@
     auto answer = co_await link.call("fence", params, m_deadlines.fence);
     --all->outstanding;
     if (answer) {
-        const write_mark end{(*answer)["received_term"].asUInt64(), (*answer)["received"].asUInt64()};
+        const write_mark end{rpc::uint_field(*answer, "received_term"), rpc::uint_field(*answer, "received")};
         all->fenced.push_back(fenced_member{std::move(member), end});
     } else if (answer.error().code == errc::fenced) {
         all->superseded = true;
--- a/src/cornellever/proxy/confirmer.cpp
+++ b/src/cornellever/proxy/confirmer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cornellever/rpc/fields.hpp"
+
 namespace cornellever::proxy {
 
 namespace {
@@ -80,7 +82,7 @@
         params["wait_ms"] = static_cast<Json::Int64>(ask_wait.count());
         auto answer = co_await me.link->call("await_received", params, ask_deadline);
         if (answer) {
-            take_held(me, key, write_mark{lowest.term, (*answer)["received"].asUInt64()});
+            take_held(me, key, write_mark{lowest.term, rpc::uint_field(*answer, "received")});
             std::erase_if(me.writes, [&](auto* item) { return item->confirmed.contains(key); });
         } else if (answer.error().code == errc::fenced) {
             take_refusal(me, lowest.term);
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -8,6 +8,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/proxy/suspicion.hpp"
 #include "cornellever/rpc/channel.hpp"
+#include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::proxy {
 
@@ -21,11 +22,11 @@
         return out;
     }
     out.answered = true;
-    out.primary = (*status)["role"] == "primary";
-    out.term = (*status)["term"].asUInt64();
-    out.position = (*status)["position"].asUInt64();
-    out.staleness_ms = (*status)["staleness_ms"].asInt64();
-    out.heard_ms = (*status)["heard_ms"].asInt64();
+    out.primary = rpc::text_field(*status, "role") == "primary";
+    out.term = rpc::uint_field(*status, "term");
+    out.position = rpc::uint_field(*status, "position");
+    out.staleness_ms = static_cast<std::int64_t>(rpc::uint_field(*status, "staleness_ms"));
+    out.heard_ms = static_cast<std::int64_t>(rpc::uint_field(*status, "heard_ms"));
     return out;
 }
 
@@ -42,11 +43,13 @@
 } // namespace
 
 control::control(asio::any_io_executor own, asio::any_io_executor traffic, router& traffic_router,
-                 tcp::endpoint platform, std::string name, const chart& failover_steps, control_limits limits)
+                 tcp::endpoint platform, std::vector<tcp::endpoint> peers, std::string name,
+                 const chart& failover_steps, control_limits limits)
     : m_own{std::move(own)}
     , m_traffic{std::move(traffic)}
     , m_router{traffic_router}
     , m_platform{std::move(platform)}
+    , m_peers{std::move(peers)}
     , m_limits{limits}
     , m_store{m_own, m_platform, limits.call_deadline}
     , m_group{m_own}
@@ -74,13 +77,28 @@
                                                           "\" version_in_force=" + std::to_string(m_config.version));
             }
             m_platform_failing = true;
+            co_await ask_peer();
         }
         co_await sleep_for(m_limits.config_poll);
     }
 }
 
+asio::awaitable<void> control::ask_peer() {
+    // A machine replaced during an outage of the platform starts with
+    // nothing. What another proxy has in force was accepted once, and its
+    // version decides whether it is newer, so taking it over cannot revert.
+    if (m_peers.empty()) {
+        co_return;
+    }
+    rpc::channel link{m_own, m_peers[m_next_peer++ % m_peers.size()]};
+    auto row = co_await link.call("config.current", Json::Value{Json::objectValue}, m_limits.call_deadline);
+    if (row) {
+        take(*row);
+    }
+}
+
 void control::take(const Json::Value& row) {
-    const auto version = row["version"].asUInt64();
+    const auto version = rpc::uint_field(row, "version");
     // A platform restored from an old snapshot, or an answer that was held
     // up, may show a lower version: a configuration in force never reverts.
     if (version <= m_config.version) {
@@ -127,12 +145,12 @@
 void control::take_machines(const Json::Value& list) {
     std::set<std::string, std::less<>> leaving;
     std::size_t proxies = 0;
-    for (const auto& address : list.getMemberNames()) {
-        const auto& item = list[address];
-        if (item["state"] == "leaving") {
-            leaving.insert(address);
+    for (auto item = list.begin(); item != list.end(); ++item) {
+        const auto state = rpc::text_field(*item, "state");
+        if (state == "leaving") {
+            leaving.insert(item.name());
         }
-        proxies += item["kind"] == "proxy" && item["state"] == "live" ? 1 : 0;
+        proxies += rpc::text_field(*item, "kind") == "proxy" && state == "live" ? 1 : 0;
     }
     m_topology.set_leaving(leaving, std::chrono::steady_clock::now());
     asio::post(m_traffic,
--- a/src/cornellever/proxy/control.hpp
+++ b/src/cornellever/proxy/control.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "cornellever/config/model.hpp"
 #include "cornellever/core/asio.hpp"
@@ -37,8 +38,10 @@
 /// learns to the router on the traffic thread.
 class control {
 public:
+    /// `peers` are other proxies, asked for the configuration while the
+    /// platform does not answer.
     control(asio::any_io_executor own, asio::any_io_executor traffic, router& traffic_router, tcp::endpoint platform,
-            std::string name, const chart& failover_steps, control_limits limits);
+            std::vector<tcp::endpoint> peers, std::string name, const chart& failover_steps, control_limits limits);
 
     /// Starts every loop.
     void start();
@@ -49,6 +52,7 @@
     asio::awaitable<void> probe(std::string key, tcp::endpoint address, std::uint64_t generation);
     asio::awaitable<void> watch_primaries();
     asio::awaitable<void> replace_primary(std::string service, std::string database, bool planned);
+    asio::awaitable<void> ask_peer();
     void take(const Json::Value& row);
     void take(config::cluster config);
     void take_machines(const Json::Value& list);
@@ -58,6 +62,8 @@
     asio::any_io_executor m_traffic;
     router& m_router;
     tcp::endpoint m_platform;
+    std::vector<tcp::endpoint> m_peers;
+    std::size_t m_next_peer{0};
     control_limits m_limits;
     platform_store m_store;
     backend_group m_group;
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -5,11 +5,11 @@
 
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
-#include "cornellever/ini/reader.hpp"
 #include "cornellever/proxy/charts.hpp"
 #include "cornellever/proxy/control.hpp"
 #include "cornellever/proxy/planned_stop.hpp"
 #include "cornellever/proxy/router.hpp"
+#include "cornellever/proxy/settings.hpp"
 
 namespace cornellever {
 
@@ -17,36 +17,8 @@
 
 constexpr auto sweep_period = std::chrono::seconds{1};
 
-/// A proxy's own settings: where it listens, its zone, the platform.
-struct proxy_settings {
-    std::string name;
-    std::string zone;
-    std::string listen;
-    std::string platform;
-};
-
-/// Reads `[proxy]` of a settings folder into `out`; prints every finding.
-bool read_settings(const std::string& folder, proxy_settings& out) {
-    const auto document = ini::read_folder(folder);
-    auto findings = document.findings;
-    for (const auto& item : document.entries) {
-        std::string* target = nullptr;
-        if (item.section == "proxy" && item.key == "name") {
-            target = &out.name;
-        } else if (item.section == "proxy" && item.key == "zone") {
-            target = &out.zone;
-        } else if (item.section == "proxy" && item.key == "listen") {
-            target = &out.listen;
-        } else if (item.section == "proxy" && item.key == "platform") {
-            target = &out.platform;
-        }
-        if (target == nullptr) {
-            findings.push_back(ini::finding{item.where, "unknown setting [" + item.section + "] " + item.key +
-                                                            ": expected [proxy] name, zone, listen or platform"});
-        } else {
-            *target = item.value;
-        }
-    }
+/// Prints findings; whether there were none.
+bool no_findings(const std::vector<ini::finding>& findings) {
     for (const auto& item : findings) {
         std::fprintf(stderr, "%s\n", ini::to_string(item).c_str());
     }
@@ -71,40 +43,7 @@
     return std::move(*parsed);
 }
 
-} // namespace
-
-int proxy_main(std::span<char*> args) {
-    TCLAP::CmdLine cmd{"The proxy between callers and backends", ' ', "0.1"};
-    TCLAP::ValueArg<std::string> folder{"",     "settings", "folder of INI files with [proxy] settings", false, "",
-                                        "path", cmd};
-    TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT for callers", false, "", "address", cmd};
-    TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform", false, "", "address", cmd};
-    TCLAP::ValueArg<std::string> zone{"", "zone", "this proxy's zone (data centre)", false, "", "zone", cmd};
-    TCLAP::ValueArg<std::string> name{"", "name", "this proxy's name", false, "", "name", cmd};
-    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
-    cmd.parse(static_cast<int>(args.size()), args.data());
-    if (!start_logging("proxy", level.getValue())) {
-        return 2;
-    }
-    proxy_settings settings;
-    if (folder.isSet() && !read_settings(folder.getValue(), settings)) {
-        return 2;
-    }
-    for (auto [arg, target] : {std::pair{&listen, &settings.listen}, std::pair{&platform, &settings.platform},
-                               std::pair{&zone, &settings.zone}, std::pair{&name, &settings.name}}) {
-        if (arg->isSet()) {
-            *target = arg->getValue();
-        }
-    }
-    tcp::endpoint listen_at;
-    tcp::endpoint platform_at;
-    if (!parse_endpoint(settings.listen, listen_at) || !parse_endpoint(settings.platform, platform_at)) {
-        std::fprintf(stderr, "listen and platform must be IP:PORT (settings or --listen/--platform)\n");
-        return 2;
-    }
-    if (settings.name.empty()) {
-        settings.name = "proxy-" + std::to_string(listen_at.port());
-    }
+int run_proxy(const proxy::settings& settings) {
     const auto failover_steps = load_chart(proxy::charts::failover, "failover.ini");
     const auto drain_steps = load_chart(proxy::charts::drain, "drain.ini");
     event_loop io;
@@ -112,15 +51,20 @@
     proxy::router traffic{io.get_executor(), settings.name, settings.zone};
     rpc::server rpc{io.get_executor()};
     traffic.bind(rpc);
-    auto bound = rpc.listen(listen_at);
+    auto bound = rpc.listen(settings.listen);
     if (!bound) {
         log_event(event::listen_failed, "reason=\"" + bound.error().message + "\"");
         return 1;
     }
     rpc.start();
-    proxy::control watcher{
-        control_io.get_executor(), io.get_executor(), traffic, platform_at, settings.name, failover_steps,
-        proxy::control_limits{}};
+    proxy::control watcher{control_io.get_executor(),
+                           io.get_executor(),
+                           traffic,
+                           settings.platform,
+                           settings.peers,
+                           settings.name,
+                           failover_steps,
+                           proxy::control_limits{}};
     watcher.start();
     asio::co_spawn(io, sweep(traffic), asio::detached);
     proxy::planned_stop stop{rpc, traffic, drain_steps};
@@ -134,7 +78,7 @@
         });
     });
     log_event(event::process_started, "role=proxy name=" + settings.name + " listen=" + to_string(*bound) +
-                                          " zone=" + settings.zone + " platform=" + to_string(platform_at));
+                                          " zone=" + settings.zone + " platform=" + to_string(settings.platform));
     auto guard = asio::make_work_guard(control_io);
     std::thread control_thread{[&] { control_io.run(); }};
     io.run();
@@ -145,4 +89,39 @@
     return 0;
 }
 
+} // namespace
+
+int proxy_main(std::span<char*> args) {
+    TCLAP::CmdLine cmd{"The proxy between callers and backends", ' ', "0.1"};
+    TCLAP::ValueArg<std::string> folder{"",     "settings", "folder of INI files with [proxy] settings", false, "",
+                                        "path", cmd};
+    TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT for callers", false, "", "address", cmd};
+    TCLAP::ValueArg<std::string> platform{"", "platform", "IP:PORT of the platform", false, "", "address", cmd};
+    TCLAP::ValueArg<std::string> peers{"",          "peers", "IP:PORT of other proxies, separated by commas", false, "",
+                                       "addresses", cmd};
+    TCLAP::ValueArg<std::string> zone{"", "zone", "this proxy's zone (data centre)", false, "", "zone", cmd};
+    TCLAP::ValueArg<std::string> name{"", "name", "this proxy's name", false, "", "name", cmd};
+    TCLAP::ValueArg<std::string> level{"", "log-level", "debug, info, warning or error", false, "info", "level", cmd};
+    cmd.parse(static_cast<int>(args.size()), args.data());
+    if (!start_logging("proxy", level.getValue())) {
+        return 2;
+    }
+    proxy::settings_text text;
+    if (folder.isSet() && !no_findings(proxy::read_settings(folder.getValue(), text))) {
+        return 2;
+    }
+    for (auto [arg, target] :
+         {std::pair{&listen, &text.listen}, std::pair{&platform, &text.platform}, std::pair{&peers, &text.peers},
+          std::pair{&zone, &text.zone}, std::pair{&name, &text.name}}) {
+        if (arg->isSet()) {
+            *target = arg->getValue();
+        }
+    }
+    proxy::settings settings;
+    if (!no_findings(proxy::check_settings(text, settings))) {
+        return 2;
+    }
+    return run_proxy(settings);
+}
+
 } // namespace cornellever
--- a/src/cornellever/proxy/platform_store.cpp
+++ b/src/cornellever/proxy/platform_store.cpp
@@ -1,5 +1,7 @@
 #include "cornellever/proxy/platform_store.hpp"
 
+#include "cornellever/rpc/fields.hpp"
+
 namespace cornellever::proxy {
 
 platform_store::platform_store(asio::any_io_executor executor, tcp::endpoint platform,
@@ -25,11 +27,11 @@
     if (!row) {
         co_return std::unexpected{row.error()};
     }
-    auto record = group_record_from_json((*row)["value"]);
+    auto record = group_record_from_json(row->isObject() ? (*row)["value"] : Json::Value{});
     if (!record) {
         co_return std::unexpected{record.error()};
     }
-    co_return versioned_record{std::move(*record), (*row)["version"].asUInt64()};
+    co_return versioned_record{std::move(*record), rpc::uint_field(*row, "version")};
 }
 
 asio::awaitable<result<std::uint64_t>> platform_store::write(std::string_view database, const group_record& record,
@@ -42,7 +44,7 @@
     if (!written) {
         co_return std::unexpected{written.error()};
     }
-    co_return (*written)["version"].asUInt64();
+    co_return rpc::uint_field(*written, "version");
 }
 
 } // namespace cornellever::proxy
--- a/src/cornellever/proxy/router.cpp
+++ b/src/cornellever/proxy/router.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cornellever/config/json.hpp"
+
 namespace cornellever::proxy {
 
 namespace {
@@ -32,6 +34,7 @@
     rpc.on("begin", [this](const Json::Value& in, rpc::connection& caller) { return begin(in, caller); });
     rpc.on("commit", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, true); });
     rpc.on("rollback", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, false); });
+    rpc.on("config.current", [this](const Json::Value&, rpc::connection&) { return current_config(); });
     rpc.on("ready", [this](const Json::Value&, rpc::connection&) { return ready(); });
     rpc.on("dump", [this](const Json::Value&, rpc::connection&) -> answer { co_return describe(); });
 }
@@ -128,6 +131,16 @@
     co_return co_await m_transactions.rollback(*request, caller, until);
 }
 
+answer router::current_config() {
+    if (m_config.version == 0) {
+        co_return fail(errc::not_found, "proxy " + m_name + " has no configuration yet");
+    }
+    Json::Value out;
+    out["version"] = static_cast<Json::UInt64>(m_config.version);
+    out["value"] = config::to_json(m_config);
+    co_return out;
+}
+
 answer router::ready() {
     if (m_draining || m_config.version == 0) {
         co_return fail(errc::unavailable, m_draining ? "stopping" : "no configuration yet");
--- a/tests/fuzz/config.cpp
+++ b/tests/fuzz/config.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <string_view>
 
+#include "cornellever/config/ini_text.hpp"
 #include "cornellever/config/json.hpp"
 #include "cornellever/config/load.hpp"
 #include "cornellever/ini/reader.hpp"
@@ -22,5 +23,12 @@
     if (!read_back || config::to_json(*read_back) != stored) {
         std::abort();
     }
+    // What `ctl fetch` writes reads back to the same configuration.
+    ini::document fetched;
+    ini::read_text(config::to_ini(loaded.config), "fetched.ini", fetched);
+    const auto again = config::from_document(fetched);
+    if (again.ok() && config::to_json(again.config) != stored) {
+        std::abort();
+    }
     return 0;
 }
--- a/tests/system/at_most_once.sh
+++ b/tests/system/at_most_once.sh
@@ -6,6 +6,10 @@
 # once or not at all, as told; no transaction is torn or mixed.
 set -euo pipefail
 source "$(dirname "$0")/common.sh" "$1" "$2" 127.0.35.1 20
+# A kind of request that the service lists as non-repeatable needs an id.
+"$bin" ctl call "$CLUSTER_PROXY_A" execute '{"service":"stockbook","database":"orders","kind":"reserve-unit","sql":"DELETE FROM reservations"}' \
+  >"$work/no-id.txt" && fail "a non-repeatable request without an id ran"
+grep -q '^bad_request' "$work/no-id.txt" || fail "expected bad_request: $(cat "$work/no-id.txt")"
 verify_start orders 9000 "${SEED:-7}"
 primary=${CLUSTER_BACKEND[orders/walu]}
 sleep 1
--- a/tests/system/ctl_refuses_bad_config.sh
+++ b/tests/system/ctl_refuses_bad_config.sh
@@ -10,7 +10,8 @@
 platform=$!
 trap 'kill $platform; wait $platform 2>/dev/null; rm -rf "$work"' EXIT
 for _ in $(seq 50); do "$bin" ctl call 127.0.4.1:7000 dump >/dev/null 2>&1 && break; sleep 0.1; done
-"$bin" ctl apply "$top/examples/vatuwaqa/config" --platform 127.0.4.1:7000
+cp -r "$top/examples/vatuwaqa/config" "$work/config"
+"$bin" ctl apply "$work/config" --platform 127.0.4.1:7000
 set +e
 "$bin" ctl apply "$top/tests/fixtures/bad-config" --platform 127.0.4.1:7000 >"$work/out.txt"
 status=$?
--- /dev/null
+++ b/tests/system/replaced_during_outage.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Story: while the platform's table is down, the machine of proxy B is
+# replaced. The new process starts with nothing and cannot read the
+# configuration. It takes the one that proxy A has in force and serves, and
+# later follows the platform again.
+set -euo pipefail
+source "$(dirname "$0")/common.sh" "$1" "$2" 127.0.43.1 0
+cluster_fault "$CLUSTER_PLATFORM" '{"down":true}'
+kill -KILL "${CLUSTER_PIDS[11]}"
+cluster_spawn "$work/logs/proxy-b2.log" "$bin" proxy --name proxy-b2 --zone laucala --listen "$CLUSTER_PROXY_B" \
+  --platform "$CLUSTER_PLATFORM" --peers "$CLUSTER_PROXY_A"
+browse() {
+  "$bin" ctl call "$CLUSTER_PROXY_B" execute \
+    '{"service":"stockbook","database":"catalogue","mode":"read","sql":"SELECT count(*) FROM units"}' >/dev/null 2>&1
+}
+eventually 4 browse || fail "the replaced proxy does not serve during the outage"
+[ "$(cluster_field "$CLUSTER_PROXY_B" config_version)" = 1 ] || fail "not at version 1"
+cluster_fault "$CLUSTER_PLATFORM" '{"down":false}'
+printf '[instance stockbook/orders/walu]\nconnections = 8\n' >"$work/config/90-fewer.ini"
+"$bin" ctl apply "$work/config" --platform "$CLUSTER_PLATFORM" "${both_proxies[@]}" || fail "version 2 is not in force everywhere"
+echo "ok: a proxy replaced during the outage serves and catches up"
--- a/tests/unit/config_check.cpp
+++ b/tests/unit/config_check.cpp
@@ -61,6 +61,15 @@
     BOOST_TEST(loaded.findings[0].where.line == 3);
 }
 
+// Found by the fuzzer: a zone named ";[c" read back as a comment.
+BOOST_AUTO_TEST_CASE(names_that_would_not_read_back_are_findings) {
+    const auto loaded = check({{"00-cluster.ini", "[cluster]\nname = v\nzones = walu,;[c\n"},
+                               {"10-stockbook.ini", "[service stock book]\nnon_repeatable = a b\n"
+                                                    "[instance stock book/o*/walu]\nzone = walu\n"
+                                                    "address = 127.0.0.1:7101\n"}});
+    BOOST_TEST(loaded.findings.size() == 5u);
+}
+
 BOOST_AUTO_TEST_CASE(a_later_file_overrides_an_earlier_one) {
     const auto loaded = check({{"00-cluster.ini", good_cluster},
                                {"10-stockbook.ini", good_service},
@@ -74,8 +83,8 @@
 // word, so that an operator's list of zones lost its end.
 BOOST_AUTO_TEST_CASE(lines_that_cannot_be_read_are_findings) {
     ini::document document;
-    const std::string text = std::string{"[a"} + '\0' + "b]\nbroken\nx = 1\n[c ;d]\nbroken\ny = " +
-                             std::string(300, 'z') + "\nbroken\n";
+    const std::string text =
+        std::string{"[a"} + '\0' + "b]\nbroken\nx = 1\n[c ;d]\nbroken\ny = " + std::string(300, 'z') + "\nbroken\n";
     ini::read_text(text, "f.ini", document);
     std::set<int> lines;
     for (const auto& item : document.findings) {
