Failover gap: overdue primaries are watched more closely

Ruled out: shorter heartbeats at all times (the control budget); judging without the replicas' word.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -48,7 +48,7 @@
   CLUSTER_PROXY_B=$ip:7202
   cluster_spawn "$work/logs/platform.log" "$bin" platform --listen "$CLUSTER_PLATFORM" --vm-list-lag-ms 500
 
-  local zones count=0
+  local zones count=0 db zone address role schema
   zones=$(sed -n 's/^zones *= *//p' "$work/config/00-cluster.ini" | tr -d ' ' | tr ',' ' ')
   while read -r db zone address role schema; do
     case "$db" in ''|\#*) continue ;; esac
@@ -76,7 +76,6 @@
     --platform "$CLUSTER_PLATFORM" --peers "$CLUSTER_PROXY_A"
 
   cluster_wait_for "the platform" 50 "$bin" ctl call "$CLUSTER_PLATFORM" dump || return 1
-  local address
   for address in "$CLUSTER_PROXY_A" "$CLUSTER_PROXY_B"; do cluster_machine "$address" proxy live; done
   "$bin" ctl apply "$work/config" --platform "$CLUSTER_PLATFORM" >"$work/logs/apply.log" || return 1
   cluster_wait_for "proxy A to see $count healthy instances" 100 cluster_ready "$bin" "$CLUSTER_PROXY_A" "$count" || return 1
--- a/src/cornellever/backend/replication.cpp
+++ b/src/cornellever/backend/replication.cpp
@@ -96,6 +96,7 @@
     Json::Value out;
     out["matched"] = after == 0 || m_log.holds(after, in["after_term"].asUInt64());
     if (!out["matched"].asBool()) {
+        out["received"] = static_cast<Json::UInt64>(std::min(m_log.last(), after - 1));
         co_return out;
     }
     receive(in["entries"]);
@@ -109,7 +110,8 @@
 
 asio::awaitable<void> instance::ship(tcp::endpoint replica, std::uint64_t reign) {
     auto link = std::make_unique<rpc::channel>(m_executor, replica);
-    std::uint64_t sent = m_log.last();
+    // One entry back: a new primary's own first entry is at the end already.
+    std::uint64_t sent = m_log.last() > 0 ? m_log.last() - 1 : 0;
     auto last_sent = clock::time_point{};
     while (m_reign == reign && m_role == role::primary) {
         const bool idle = m_log.last() == sent && clock::now() - last_sent < heartbeat_interval;
@@ -131,9 +133,9 @@
         last_sent = clock::now();
         auto answer = co_await link->call("replicate", params, ship_deadline);
         if (answer) {
-            // A replica whose log does not match is sent everything again: it
-            // skips what it holds and gives up what another primary wrote.
-            sent = (*answer)["matched"].asBool() ? (*answer)["received"].asUInt64() : 0;
+            // A replica whose log does not match here is asked further back,
+            // until it does; it then gives up what another primary wrote.
+            sent = (*answer)["received"].asUInt64();
             log_event(event::backend_shipped,
                       "to=" + cornellever::to_string(replica) + " through=" + std::to_string(sent));
             continue;
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -176,10 +176,24 @@
             was_up = status.has_value();
         }
         learn(beat_from(key, status));
-        co_await sleep_for(m_limits.heartbeat);
+        co_await sleep_for(heartbeat_pause(key));
     }
 }
 
+std::chrono::milliseconds control::heartbeat_pause(std::string_view key) const {
+    // Once a database's primary is overdue, its members are asked more often:
+    // this proxy may not be the one that replaces it, and hears of the new
+    // primary only by its heartbeats.
+    const auto* self = m_topology.find(key);
+    if (self == nullptr) {
+        return m_limits.heartbeat;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto* primary = m_topology.primary(self->service, self->database, now);
+    const bool overdue = primary == nullptr || now - primary->last_heard > m_limits.overdue;
+    return overdue ? m_limits.urgent_heartbeat : m_limits.heartbeat;
+}
+
 asio::awaitable<void> control::watch_primaries() {
     for (;;) {
         const auto now = std::chrono::steady_clock::now();
--- a/src/cornellever/proxy/control.hpp
+++ b/src/cornellever/proxy/control.hpp
@@ -28,7 +28,10 @@
     std::chrono::milliseconds machines_poll{1000};
     std::chrono::milliseconds heartbeat{200};
     std::chrono::milliseconds heartbeat_deadline{300};
-    std::chrono::milliseconds judge_every{100};
+    /// While a database's primary has not answered for `overdue`.
+    std::chrono::milliseconds urgent_heartbeat{40};
+    std::chrono::milliseconds overdue{300};
+    std::chrono::milliseconds judge_every{50};
     std::chrono::milliseconds call_deadline{400};
 };
 
@@ -50,6 +53,7 @@
     asio::awaitable<void> follow_config();
     asio::awaitable<void> follow_machines();
     asio::awaitable<void> probe(std::string key, tcp::endpoint address, std::uint64_t generation);
+    [[nodiscard]] std::chrono::milliseconds heartbeat_pause(std::string_view key) const;
     asio::awaitable<void> watch_primaries();
     asio::awaitable<void> replace_primary(std::string service, std::string database, bool planned);
     asio::awaitable<void> ask_peer();
--- a/src/cornellever/proxy/topology.hpp
+++ b/src/cornellever/proxy/topology.hpp
@@ -18,7 +18,7 @@
 namespace cornellever::proxy {
 
 /// How long an instance counts as healthy after its last good heartbeat.
-inline constexpr auto health_timeout = std::chrono::milliseconds{800};
+inline constexpr auto health_timeout = std::chrono::milliseconds{600};
 
 /// How long a leaving primary still gets new work while it hands over.
 inline constexpr auto leaving_grace = std::chrono::milliseconds{3000};
