--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -40,6 +40,18 @@
   echo "mode=$mode statements=$done_count proxy_cpu_us_per_statement=$(( (after - before) * tick_us / done_count ))"
 done
 
+echo "== proxy processor time per confirmed write"
+before=$(cpu_ticks "$proxy_pid")
+out=$("$bin" bench call --target "$CLUSTER_PROXY_A" --method execute --sessions 8 --duration-ms 3000 --params \
+  '{"service":"stockbook","database":"workshop","sql":"INSERT INTO notes (unit_id, note) VALUES (4, ?)","params":["load"]}')
+after=$(cpu_ticks "$proxy_pid")
+done_count=$(awk '/ ok /{print $2; exit}' <<<"$out")
+echo "writes=$done_count proxy_cpu_us_per_write=$(( (after - before) * tick_us / done_count ))"
+before=$(cpu_ticks "$proxy_pid")
+sleep 5
+after=$(cpu_ticks "$proxy_pid")
+echo "idle proxy, 9 instances watched: control_cpu_us_per_second=$(( (after - before) * tick_us / 5 ))"
+
 echo "== control messages: client cost and bytes per call"
 echo -n "heartbeat (status to a backend): "
 "$bin" bench call --target 127.0.6.1:7101 --method status --sessions 1 --duration-ms 2000 | tail -1
@@ -49,6 +61,11 @@
 echo -n "config version check (table.list of the config prefix): "
 "$bin" bench call --target "$CLUSTER_PLATFORM" --method table.list --params '{"prefix":"config/"}' \
   --sessions 1 --duration-ms 2000 | tail -1
+echo -n "machine list (vms.list): "
+"$bin" bench call --target "$CLUSTER_PLATFORM" --method vms.list --sessions 1 --duration-ms 2000 | tail -1
+echo -n "confirmation (await_received): "
+"$bin" bench call --target 127.0.6.1:7122 --method await_received --params '{"term":1,"position":1}' \
+  --sessions 1 --duration-ms 2000 | tail -1
 echo -n "platform table.get throughput, one caller: "
 "$bin" bench call --target "$CLUSTER_PLATFORM" --method table.get --params '{"key":"config/current"}' \
   --sessions 1 --duration-ms 2000 | head -1
@@ -62,6 +79,7 @@
 probe_pid=$!
 CLUSTER_PIDS+=("$probe_pid")
 cluster_wait_for "the second platform" 50 "$bin" ctl call 127.0.6.2:7000 dump
+applied=0
 for dbs in 1 10 100 1000; do
   folder=$work/gen-$dbs
   mkdir -p "$folder"
@@ -72,7 +90,8 @@
       printf '[instance svc/db%d/%s]\nzone = %s\naddress = 127.0.7.1:%d\n' "$d" "$z" "$z" "$port"
     done
   done >"$folder/10.ini"
-  "$bin" ctl apply "$folder" --platform 127.0.6.2:7000 >/dev/null
+  "$bin" ctl apply "$folder" --platform 127.0.6.2:7000 --expect-version "$applied" >/dev/null
+  applied=$((applied + 1))
   sleep 3
   echo "databases=$dbs instances=$((dbs * 3)) proxy_rss_kb=$(rss_kb "$probe_pid") config_row_bytes=$(
     "$bin" ctl call 127.0.6.2:7000 table.get '{"key":"config/current"}' | wc -c)"
--- a/src/cornellever/backend/faults.hpp
+++ b/src/cornellever/backend/faults.hpp
@@ -15,6 +15,9 @@
     bool frozen{false};
     /// No replication in or out: a partition between the instances.
     bool cut{false};
+    /// Nothing but replication is answered: a partition between the proxies
+    /// and this instance.
+    bool callers_cut{false};
     /// That many executes or commits take effect and lose their answer.
     int lose_answers{0};
     /// Every statement's answer is held back this long after it ran.
--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -40,8 +40,9 @@
 
 void instance::bind(rpc::server& rpc) {
     const auto add = [&](std::string name, answer (instance::*call)(params, rpc::connection&)) {
-        rpc.on(std::move(name), [this, call](params in, rpc::connection& conn) -> answer {
-            if (m_faults.frozen) {
+        const bool between_instances = name == "replicate";
+        rpc.on(std::move(name), [this, call, between_instances](params in, rpc::connection& conn) -> answer {
+            if (m_faults.frozen || (m_faults.callers_cut && !between_instances)) {
                 conn.go_silent = true;
                 return [](std::string who) -> answer {
                     co_return fail(errc::outcome_unknown, who + " is frozen");
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -1,12 +1,13 @@
 #include "cornellever/proxy/control.hpp"
 
+#include <random>
+
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
 #include "cornellever/config/json.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/log.hpp"
-#include "cornellever/proxy/suspicion.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/fields.hpp"
 
@@ -14,6 +15,10 @@
 
 namespace {
 
+/// Pauses after a try to replace a primary that did not.
+constexpr auto first_retry = std::chrono::milliseconds{200};
+constexpr auto longest_retry = std::chrono::milliseconds{1600};
+
 heartbeat beat_from(const std::string& key, const result<Json::Value>& status) {
     heartbeat out;
     out.key = key;
@@ -199,18 +204,62 @@
         const auto now = std::chrono::steady_clock::now();
         for (const auto& svc : m_config.services) {
             for (const auto& db : svc.databases) {
-                const auto found = judge(m_topology.members(svc.name, db.name), now);
-                const bool act = found != verdict::keep;
-                if (act && m_replacing.insert(database_key(svc.name, db.name)).second) {
-                    asio::co_spawn(m_own, replace_primary(svc.name, db.name, found == verdict::leaving),
-                                   asio::detached);
-                }
+                watch(svc.name, db.name, now);
             }
         }
         co_await sleep_for(m_limits.judge_every);
     }
 }
 
+void control::watch(const std::string& service, const std::string& database,
+                    std::chrono::steady_clock::time_point now) {
+    const auto key = database_key(service, database);
+    const auto found = judge(m_topology.members(service, database), now);
+    if (found != verdict::unreachable) {
+        m_unreachable.erase(key);
+    } else if (now - m_unreachable.try_emplace(key, now).first->second < m_limits.unreachable_for) {
+        return;
+    }
+    if (found == verdict::keep || !m_replacing.insert(key).second) {
+        return;
+    }
+    if (found == verdict::unreachable) {
+        asio::co_spawn(m_own, replace_unreachable(service, database), asio::detached);
+    } else {
+        asio::co_spawn(m_own, replace_primary(service, database, found == verdict::leaving), asio::detached);
+    }
+}
+
+asio::awaitable<std::vector<peer_word>> control::ask_about_primary(const std::string& service,
+                                                                   const std::string& database) {
+    Json::Value params;
+    params["service"] = service;
+    params["database"] = database;
+    std::vector<peer_word> words;
+    for (const auto& peer : m_peers) {
+        rpc::channel link{m_own, peer};
+        auto word = co_await link.call("primary.heard", params, m_limits.call_deadline);
+        if (!word || !word->isObject()) {
+            words.push_back(peer_word::no_answer);
+        } else {
+            words.push_back((*word)["heard"] == true ? peer_word::hears_it : peer_word::does_not);
+        }
+    }
+    co_return words;
+}
+
+asio::awaitable<void> control::replace_unreachable(std::string service, std::string database) {
+    // The partition may be between the primary and this proxy alone: then
+    // others are served, and replacing it would end their transactions.
+    const auto words = co_await ask_about_primary(service, database);
+    if (peers_agree(words)) {
+        co_await replace_primary(std::move(service), std::move(database), false);
+        co_return;
+    }
+    co_await sleep_for(m_limits.unreachable_for);
+    m_replacing.erase(database_key(service, database));
+}
+
 asio::awaitable<void> control::replace_primary(std::string service, std::string database, bool planned) {
     const auto key = database_key(service, database);
     std::vector<group_member> members;
@@ -226,7 +275,9 @@
     log_event(event::failover_started,
               "database=" + key + " known_term=" + std::to_string(term) + " planned=" + (planned ? "yes" : "no"));
     const auto outcome = co_await m_failover.run(key, std::move(members), old, term);
+    auto& retry = m_retries.try_emplace(key, first_retry, longest_retry, std::random_device{}()).first->second;
     if (outcome.promoted()) {
+        retry.reset();
         log_event(event::failover_done, "database=" + key + " primary=" + outcome.primary +
                                             " term=" + std::to_string(outcome.term) + " record=" + outcome.event);
         heartbeat beat;
@@ -238,6 +289,9 @@
     } else {
         log_event(event::failover_given_up,
                   "database=" + key + " term=" + std::to_string(outcome.term) + " reason=" + outcome.event);
+        // With a data centre gone, every proxy tries for many databases: no
+        // more than a few tries a second may reach the platform for each.
+        co_await sleep_for(retry.next());
     }
     m_replacing.erase(key);
 }
--- a/src/cornellever/proxy/control.hpp
+++ b/src/cornellever/proxy/control.hpp
@@ -12,9 +12,11 @@
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/chart.hpp"
 #include "cornellever/proxy/backend_group.hpp"
+#include "cornellever/proxy/backoff.hpp"
 #include "cornellever/proxy/failover.hpp"
 #include "cornellever/proxy/platform_store.hpp"
 #include "cornellever/proxy/router.hpp"
+#include "cornellever/proxy/suspicion.hpp"
 #include "cornellever/proxy/topology.hpp"
 
 namespace cornellever::proxy {
@@ -31,6 +33,9 @@
     /// While a database's primary has not answered for `overdue`.
     std::chrono::milliseconds urgent_heartbeat{40};
     std::chrono::milliseconds overdue{300};
+    /// How long a primary that a replica hears must not answer this proxy
+    /// before the other proxies are asked about it.
+    std::chrono::milliseconds unreachable_for{1000};
     std::chrono::milliseconds judge_every{50};
     std::chrono::milliseconds call_deadline{400};
 };
@@ -55,6 +60,9 @@
     asio::awaitable<void> probe(std::string key, tcp::endpoint address, std::uint64_t generation);
     [[nodiscard]] std::chrono::milliseconds heartbeat_pause(std::string_view key) const;
     asio::awaitable<void> watch_primaries();
+    void watch(const std::string& service, const std::string& database, std::chrono::steady_clock::time_point now);
+    asio::awaitable<void> replace_unreachable(std::string service, std::string database);
+    asio::awaitable<std::vector<peer_word>> ask_about_primary(const std::string& service, const std::string& database);
     asio::awaitable<void> replace_primary(std::string service, std::string database, bool planned);
     asio::awaitable<void> ask_peer();
     void take(const Json::Value& row);
@@ -76,7 +84,12 @@
     topology m_topology;
     bool m_platform_failing{false};
     std::map<std::string, std::pair<tcp::endpoint, std::uint64_t>> m_probes;
+    /// Databases whose primary is being replaced, and the pause after a try
+    /// that did not replace it, during which they stay listed.
     std::set<std::string> m_replacing;
+    std::map<std::string, backoff> m_retries;
+    /// Since when a database's primary is unreachable from here.
+    std::map<std::string, std::chrono::steady_clock::time_point> m_unreachable;
     std::uint64_t m_generation{0};
 };
 
--- a/src/cornellever/proxy/router.cpp
+++ b/src/cornellever/proxy/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cornellever/config/json.hpp"
+#include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::proxy {
 
@@ -35,6 +36,7 @@
     rpc.on("commit", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, true); });
     rpc.on("rollback", [this](const Json::Value& in, rpc::connection& caller) { return finish(in, caller, false); });
     rpc.on("config.current", [this](const Json::Value&, rpc::connection&) { return current_config(); });
+    rpc.on("primary.heard", [this](const Json::Value& in, rpc::connection&) { return primary_heard(in); });
     rpc.on("ready", [this](const Json::Value&, rpc::connection&) { return ready(); });
     rpc.on("dump", [this](const Json::Value&, rpc::connection&) -> answer { co_return describe(); });
 }
@@ -141,6 +143,14 @@
     co_return out;
 }
 
+answer router::primary_heard(const Json::Value& in) {
+    const auto* primary =
+        m_links.known().primary(rpc::text_field(in, "service"), rpc::text_field(in, "database"), clock::now());
+    Json::Value out;
+    out["heard"] = primary != nullptr;
+    co_return out;
+}
+
 answer router::ready() {
     if (m_draining || m_config.version == 0) {
         co_return fail(errc::unavailable, m_draining ? "stopping" : "no configuration yet");
--- a/src/cornellever/proxy/router.hpp
+++ b/src/cornellever/proxy/router.hpp
@@ -27,7 +27,7 @@
     router(asio::any_io_executor executor, std::string name, std::string zone, link_limits limits = {});
 
     /// Registers `execute`, `begin`, `commit`, `rollback`, `ready`,
-    /// `config.current` and `dump`.
+    /// `config.current`, `primary.heard` and `dump`.
     void bind(rpc::server& rpc);
 
     /// Takes a newer configuration; an older or equal version is ignored.
@@ -59,6 +59,7 @@
     answer finish(const Json::Value& in, rpc::connection& caller, bool commit);
     answer ready();
     answer current_config();
+    answer primary_heard(const Json::Value& in);
     answer dispatch(const config::service& service, const execute_request& request, clock::time_point until);
     [[nodiscard]] result<const config::service*> service_for(const std::string& service,
                                                              const std::string& database) const;
--- a/src/cornellever/proxy/suspicion.cpp
+++ b/src/cornellever/proxy/suspicion.cpp
@@ -43,8 +43,11 @@
         staying += item->leaving_since ? 0 : 1;
     }
     const bool nobody_hears = answering > 0 && deaf == answering;
+    if (primary == nullptr && nobody_hears) {
+        return verdict::lost;
+    }
     if (primary == nullptr) {
-        return nobody_hears ? verdict::lost : verdict::keep;
+        return answering > 0 ? verdict::unreachable : verdict::keep;
     }
     const auto majority = majority_of(members.size());
     if (nobody_hears && deaf >= majority) {
@@ -56,4 +59,10 @@
     return verdict::keep;
 }
 
+bool peers_agree(std::span<const peer_word> words) {
+    const auto answered = words.size() - static_cast<std::size_t>(std::ranges::count(words, peer_word::no_answer));
+    const bool heard = std::ranges::find(words, peer_word::hears_it) != words.end();
+    return !heard && answered + 1 >= majority_of(words.size() + 1);
+}
+
 } // namespace cornellever::proxy
--- /dev/null
+++ b/tests/unit/backoff.cpp
@@ -0,0 +1,16 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cornellever/proxy/backoff.hpp"
+
+using namespace cornellever::proxy;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_CASE(pauses_double_up_to_the_longest_and_start_again) {
+    backoff subject{100ms, 400ms, 7};
+    for (const auto whole : {100ms, 200ms, 400ms, 400ms}) {
+        const auto pause = subject.next();
+        BOOST_TEST((pause >= whole / 2 && pause <= whole));
+    }
+    subject.reset();
+    BOOST_TEST((subject.next() <= 100ms));
+}
