--- a/scripts/measures.sh
+++ b/scripts/measures.sh
@@ -31,7 +31,7 @@
   for replica_wait in $(seq 20); do
     printf '[service %s]\nreplica_wait_ms = %s\n' "$service" "$replica_wait" >"$work/config/95-wait.ini"
     "$bin" ctl apply "$work/config" --platform "$CLUSTER_PLATFORM" "${proxies[@]}" | sed -n 's/^in force.* \([0-9]*\) ms$/\1/p'
-    sleep 0.1
+    sleep "0.$((RANDOM % 5))"
   done | sort -n | awk '{v[NR] = $1} END {print "median " v[int((NR + 1) / 2)] " ms, max " v[NR] " ms of " NR}'
   cluster_stop
   rm -rf "$work"
--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -61,7 +61,7 @@
     add("fence", &instance::fence);
     add("promote", &instance::promote);
     add("status", &instance::status);
-    add("dump", &instance::status);
+    add("dump", &instance::dump);
     rpc.on("fault.set", [this](params in, rpc::connection& conn) { return set_fault(in, conn); });
 }
 
@@ -298,16 +298,21 @@
         std::ranges::count_if(m_clients, [](const client* item) { return item->in_transaction; }));
 }
 
-Json::Value instance::describe() const {
+Json::Value instance::essentials() const {
     Json::Value out;
-    out["name"] = m_settings.name;
     out["role"] = std::string{to_string(m_role)};
     out["term"] = static_cast<Json::UInt64>(m_term);
     out["position"] = static_cast<Json::UInt64>(m_data.applied());
-    out["received"] = static_cast<Json::UInt64>(m_log.last());
-    out["received_term"] = static_cast<Json::UInt64>(m_log.end().term);
     out["staleness_ms"] = static_cast<Json::Int64>(staleness().count());
     out["heard_ms"] = static_cast<Json::Int64>(m_role == role::primary ? 0 : millis_since(m_heard_at));
+    return out;
+}
+
+Json::Value instance::describe() const {
+    Json::Value out = essentials();
+    out["name"] = m_settings.name;
+    out["received"] = static_cast<Json::UInt64>(m_log.last());
+    out["received_term"] = static_cast<Json::UInt64>(m_log.end().term);
     out["connections"] = static_cast<Json::UInt64>(m_clients.size());
     out["transactions"] = static_cast<Json::UInt64>(open_transactions());
     out["statements"] = static_cast<Json::UInt64>(m_statements);
@@ -316,6 +321,10 @@
 }
 
 instance::answer instance::status(params, rpc::connection&) {
+    co_return essentials();
+}
+
+instance::answer instance::dump(params, rpc::connection&) {
     co_return describe();
 }
 
--- a/src/cornellever/backend/instance.hpp
+++ b/src/cornellever/backend/instance.hpp
@@ -71,6 +71,7 @@
     answer commit(params in, rpc::connection& conn);
     answer rollback(params in, rpc::connection& conn);
     answer status(params in, rpc::connection& conn);
+    answer dump(params in, rpc::connection& conn);
     answer set_fault(params in, rpc::connection& conn);
     answer await_received(params in, rpc::connection& conn);
     answer replicate(params in, rpc::connection& conn);
@@ -86,6 +87,9 @@
     [[nodiscard]] Json::Value where_written() const;
     [[nodiscard]] std::chrono::milliseconds staleness() const;
     [[nodiscard]] std::size_t open_transactions() const;
+    /// What a heartbeat needs; every byte of it is sent by each proxy
+    /// several times a second.
+    [[nodiscard]] Json::Value essentials() const;
     [[nodiscard]] Json::Value describe() const;
 
     void append(std::vector<logged_statement> statements);
--- a/src/cornellever/backend/main.cpp
+++ b/src/cornellever/backend/main.cpp
@@ -6,22 +6,6 @@
 
 namespace cornellever {
 
-namespace {
-
-bool parse_endpoints(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
-    for (const auto& text : texts) {
-        tcp::endpoint where;
-        if (!parse_endpoint(text, where)) {
-            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
-            return false;
-        }
-        out.push_back(where);
-    }
-    return true;
-}
-
-} // namespace
-
 int backend_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"Stand-in database server instance holding a SQLite database", ' ', "0.1"};
     TCLAP::ValueArg<std::string> listen{"", "listen", "IP:PORT to listen on", true, "", "address", cmd};
--- a/src/cornellever/backend/replication.cpp
+++ b/src/cornellever/backend/replication.cpp
@@ -4,7 +4,7 @@
 #include "cornellever/backend/instance.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/log.hpp"
-#include "cornellever/rpc/channel.hpp"
+#include "cornellever/rpc/kept_channel.hpp"
 
 namespace cornellever::backend {
 
@@ -109,7 +109,7 @@
 }
 
 asio::awaitable<void> instance::ship(tcp::endpoint replica, std::uint64_t reign) {
-    auto link = std::make_unique<rpc::channel>(m_executor, replica);
+    rpc::kept_channel link{m_executor, replica};
     // One entry back: a new primary's own first entry is at the end already.
     std::uint64_t sent = m_log.last() > 0 ? m_log.last() - 1 : 0;
     auto last_sent = clock::time_point{};
@@ -131,7 +131,7 @@
         params["entries"] = entries;
         params["primary_last"] = static_cast<Json::UInt64>(m_log.last());
         last_sent = clock::now();
-        auto answer = co_await link->call("replicate", params, ship_deadline);
+        auto answer = co_await link.call("replicate", params, ship_deadline);
         if (answer) {
             // A replica whose log does not match here is asked further back,
             // until it does; it then gives up what another primary wrote.
@@ -140,9 +140,6 @@
                       "to=" + cornellever::to_string(replica) + " through=" + std::to_string(sent));
             continue;
         }
-        if (!link->usable()) {
-            link = std::make_unique<rpc::channel>(m_executor, replica);
-        }
         co_await sleep_for(ship_retry);
     }
 }
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -17,18 +17,6 @@
 
 namespace {
 
-bool parse_all(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
-    for (const auto& text : texts) {
-        tcp::endpoint where;
-        if (!parse_endpoint(text, where)) {
-            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
-            return false;
-        }
-        out.push_back(where);
-    }
-    return !out.empty();
-}
-
 int run_session_mode(const std::string& script, const std::vector<tcp::endpoint>& proxies,
                      const std::string& transcript) {
     auto steps = bench::read_session_script(script);
@@ -204,7 +192,7 @@
         return open == connections.getValue() ? 0 : 1;
     }
     std::vector<tcp::endpoint> targets;
-    if (!parse_all(proxies.getValue(), targets)) {
+    if (!parse_endpoints(proxies.getValue(), targets) || targets.empty()) {
         std::fprintf(stderr, "give at least one --proxy IP:PORT\n");
         return 2;
     }
--- a/src/cornellever/core/daemon.cpp
+++ b/src/cornellever/core/daemon.cpp
@@ -26,6 +26,18 @@
     return true;
 }
 
+bool parse_endpoints(std::span<const std::string> texts, std::vector<tcp::endpoint>& out) {
+    for (const auto& text : texts) {
+        tcp::endpoint where;
+        if (!parse_endpoint(text, where)) {
+            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
+            return false;
+        }
+        out.push_back(where);
+    }
+    return true;
+}
+
 std::string to_string(const tcp::endpoint& where) {
     return where.address().to_string() + ":" + std::to_string(where.port());
 }
--- a/src/cornellever/core/daemon.hpp
+++ b/src/cornellever/core/daemon.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <functional>
+#include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
@@ -27,6 +30,10 @@
 /// standard error when the level is not known.
 [[nodiscard]] bool start_logging(std::string_view role, std::string_view level);
 
+/// Reads `IP:PORT` texts from a command line into `out`; false with a
+/// message on standard error at the first that is none.
+[[nodiscard]] bool parse_endpoints(std::span<const std::string> texts, std::vector<tcp::endpoint>& out);
+
 /// Formats an endpoint as `address:port`.
 [[nodiscard]] std::string to_string(const tcp::endpoint& where);
 
--- a/src/cornellever/ctl/apply.cpp
+++ b/src/cornellever/ctl/apply.cpp
@@ -4,7 +4,7 @@
 
 #include "cornellever/config/json.hpp"
 #include "cornellever/core/daemon.hpp"
-#include "cornellever/proxy/control.hpp"
+#include "cornellever/proxy/config_follower.hpp"
 #include "cornellever/rpc/channel.hpp"
 
 namespace cornellever::ctl {
--- a/src/cornellever/ctl/main.cpp
+++ b/src/cornellever/ctl/main.cpp
@@ -78,18 +78,6 @@
     return refusal.code == errc::unavailable ? unreachable : refused;
 }
 
-bool parse_all(const std::vector<std::string>& texts, std::vector<tcp::endpoint>& out) {
-    for (const auto& text : texts) {
-        tcp::endpoint where;
-        if (!parse_endpoint(text, where)) {
-            std::fprintf(stderr, "'%s' is not IP:PORT\n", text.c_str());
-            return false;
-        }
-        out.push_back(where);
-    }
-    return true;
-}
-
 /// What `apply` was told on the command line.
 struct apply_options {
     std::string folder;
@@ -199,7 +187,7 @@
     }
     tcp::endpoint platform_at;
     std::vector<tcp::endpoint> proxies_at;
-    if (!parse_all(proxies.getValue(), proxies_at)) {
+    if (!parse_endpoints(proxies.getValue(), proxies_at)) {
         return usage;
     }
     const bool has_platform = parse_endpoint(platform.getValue(), platform_at);
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "cornellever/core/scoped_count.hpp"
+#include "cornellever/proxy/answer.hpp"
 #include "cornellever/proxy/quorum.hpp"
 
 namespace cornellever::proxy {
@@ -112,6 +113,25 @@
     co_return pooled_connection{owner, std::move(*lease)};
 }
 
+asio::awaitable<result<pooled_connection>> backend_links::begin(const instance_view& target, clock::time_point until,
+                                                                std::chrono::milliseconds try_deadline) {
+    auto acquired = co_await acquire(target, std::min(m_limits.pool_wait, time_left(until)));
+    if (!acquired) {
+        co_return acquired;
+    }
+    Json::Value payload;
+    payload["term"] = static_cast<Json::UInt64>(target.term);
+    auto begun = co_await call_on(*acquired, "begin", payload, std::min(try_deadline, time_left(until)));
+    if (begun) {
+        co_return acquired;
+    }
+    acquired->release();
+    if (ran_not(begun.error().code)) {
+        co_return std::unexpected{begun.error()};
+    }
+    co_return fail(errc::unavailable, begun.error().message);
+}
+
 asio::awaitable<result<Json::Value>> backend_links::call_on(const pooled_connection& connection,
                                                             std::string_view method, const Json::Value& payload,
                                                             std::chrono::milliseconds deadline) {
--- a/src/cornellever/proxy/backend_links.hpp
+++ b/src/cornellever/proxy/backend_links.hpp
@@ -67,6 +67,12 @@
                                               const Json::Value& payload, std::chrono::milliseconds pool_wait,
                                               std::chrono::milliseconds deadline);
 
+    /// A connection with a transaction open on the primary `target`. Errors
+    /// all say not run: nothing was asked of the transaction yet, and a
+    /// connection in doubt is closed, which rolls back whatever it opened.
+    asio::awaitable<result<pooled_connection>> begin(const instance_view& target, clock::time_point until,
+                                                     std::chrono::milliseconds try_deadline);
+
     /// One call on a connection held by the caller, watched for silence.
     static asio::awaitable<result<Json::Value>> call_on(const pooled_connection& connection, std::string_view method,
                                                         const Json::Value& payload, std::chrono::milliseconds deadline);
--- /dev/null
+++ b/src/cornellever/proxy/config_follower.cpp
@@ -0,0 +1,91 @@
+#include "cornellever/proxy/config_follower.hpp"
+
+#include "cornellever/config/json.hpp"
+#include "cornellever/core/log.hpp"
+#include "cornellever/rpc/fields.hpp"
+
+namespace cornellever::proxy {
+
+config_follower::config_follower(asio::any_io_executor executor, tcp::endpoint platform,
+                                 std::vector<tcp::endpoint> peers, follow_limits limits,
+                                 std::function<void(config::cluster)> on_newer)
+    : m_executor{std::move(executor)}
+    , m_platform{m_executor, std::move(platform)}
+    , m_peers{std::move(peers)}
+    , m_limits{limits}
+    , m_on_newer{std::move(on_newer)} {}
+
+asio::awaitable<void> config_follower::run() {
+    for (;;) {
+        auto row = co_await newer_row();
+        if (row) {
+            m_failing = false;
+            take(*row);
+        } else {
+            note_failure(row.error());
+            co_await ask_peer();
+        }
+        co_await sleep_for(m_limits.poll);
+    }
+}
+
+void config_follower::note_failure(const error& failure) {
+    // Once per outage: the platform may be down for hours.
+    if (!m_failing) {
+        log_event(event::config_fetch_failed,
+                  "reason=\"" + failure.message + "\" version_in_force=" + std::to_string(m_version));
+    }
+    m_failing = true;
+}
+
+asio::awaitable<result<Json::Value>> config_follower::newer_row() {
+    // The row of a large customer is tens of kilobytes: its version alone is
+    // asked for at each poll, the row only when that has risen.
+    Json::Value listed;
+    listed["prefix"] = std::string{config_row};
+    auto rows = co_await m_platform.call("table.list", listed, m_limits.call_deadline);
+    if (!rows) {
+        co_return rows;
+    }
+    const auto applied = rows->isArray() && !rows->empty() ? rpc::uint_field((*rows)[0], "version") : 0;
+    if (applied <= m_version) {
+        co_return Json::Value{};
+    }
+    Json::Value params;
+    params["key"] = std::string{config_row};
+    co_return co_await m_platform.call("table.get", params, m_limits.call_deadline);
+}
+
+asio::awaitable<void> config_follower::ask_peer() {
+    // A machine replaced during an outage of the platform starts with
+    // nothing. What another proxy has in force was accepted once, and its
+    // version decides whether it is newer, so taking it over cannot revert.
+    if (m_peers.empty()) {
+        co_return;
+    }
+    rpc::channel link{m_executor, m_peers[m_next_peer++ % m_peers.size()]};
+    auto row = co_await link.call("config.current", Json::Value{Json::objectValue}, m_limits.call_deadline);
+    if (row) {
+        take(*row);
+    }
+}
+
+void config_follower::take(const Json::Value& row) {
+    const auto version = rpc::uint_field(row, "version");
+    // An answer that was held up, or a peer that is behind, may show a lower
+    // version: a configuration in force never reverts.
+    if (version <= m_version) {
+        return;
+    }
+    auto parsed = config::from_json(row["value"]);
+    if (!parsed) {
+        log_event(event::config_refused,
+                  "version=" + std::to_string(version) + " reason=\"" + parsed.error().message + "\"");
+        return;
+    }
+    m_version = version;
+    parsed->version = version;
+    m_on_newer(std::move(*parsed));
+}
+
+} // namespace cornellever::proxy
--- a/src/cornellever/proxy/fwd.hpp
+++ b/src/cornellever/proxy/fwd.hpp
@@ -17,6 +17,8 @@
 class write_path;
 class transaction_table;
 class router;
+class config_follower;
+class primary_keeper;
 class control;
 class planned_stop;
 class platform_store;
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -57,14 +57,7 @@
         return 1;
     }
     rpc.start();
-    proxy::control watcher{control_io.get_executor(),
-                           io.get_executor(),
-                           traffic,
-                           settings.platform,
-                           settings.peers,
-                           settings.name,
-                           failover_steps,
-                           proxy::control_limits{}};
+    proxy::control watcher{control_io.get_executor(), io.get_executor(), traffic, settings, failover_steps};
     watcher.start();
     asio::co_spawn(io, sweep(traffic), asio::detached);
     proxy::planned_stop stop{rpc, traffic, drain_steps};
--- a/src/cornellever/proxy/router.cpp
+++ b/src/cornellever/proxy/router.cpp
@@ -49,7 +49,8 @@
     m_links.update(m_config);
 }
 
-result<const config::service*> router::service_for(const std::string& service, const std::string& database) const {
+result<config::service> router::admit(const std::string& service, const std::string& database, const std::string& kind,
+                                      const std::string& request_id) const {
     if (m_config.version == 0) {
         return fail(errc::unavailable, "proxy " + m_name + " has no configuration yet");
     }
@@ -60,7 +61,10 @@
     if (config::find_database(*found, database) == nullptr) {
         return fail(errc::not_found, "service '" + service + "' has no database '" + database + "'");
     }
-    return found;
+    if (auto allowed = check_repeatable(*found, kind, request_id); !allowed) {
+        return std::unexpected{allowed.error()};
+    }
+    return *found;
 }
 
 answer router::execute(const Json::Value& in, rpc::connection& caller) {
@@ -72,16 +76,11 @@
     if (!request->transaction.empty()) {
         co_return co_await m_transactions.execute(*request, caller, until);
     }
-    auto found = service_for(request->service, request->database);
-    if (!found) {
-        co_return std::unexpected{found.error()};
-    }
-    // A copy: a newer configuration may replace it while the request runs.
-    const auto service = **found;
-    if (auto allowed = check_repeatable(service, request->kind, request->request_id); !allowed) {
-        co_return std::unexpected{allowed.error()};
+    const auto service = admit(request->service, request->database, request->kind, request->request_id);
+    if (!service) {
+        co_return std::unexpected{service.error()};
     }
-    co_return co_await dispatch(service, *request, until);
+    co_return co_await dispatch(*service, *request, until);
 }
 
 answer router::dispatch(const config::service& service, const execute_request& request, clock::time_point until) {
@@ -110,15 +109,11 @@
         co_return fail_for_now(errc::unavailable, "proxy " + m_name + " is stopping: begin on another",
                                draining_retry_after);
     }
-    auto found = service_for(request->service, request->database);
-    if (!found) {
-        co_return std::unexpected{found.error()};
-    }
-    const auto service = **found;
-    if (auto allowed = check_repeatable(service, request->kind, request->request_id); !allowed) {
-        co_return std::unexpected{allowed.error()};
+    const auto service = admit(request->service, request->database, request->kind, request->request_id);
+    if (!service) {
+        co_return std::unexpected{service.error()};
     }
-    co_return co_await m_transactions.begin(service, *request, caller, clock::now() + request->deadline);
+    co_return co_await m_transactions.begin(*service, *request, caller, clock::now() + request->deadline);
 }
 
 answer router::finish(const Json::Value& in, rpc::connection& caller, bool commit) {
--- a/src/cornellever/proxy/router.hpp
+++ b/src/cornellever/proxy/router.hpp
@@ -61,8 +61,10 @@
     answer current_config();
     answer primary_heard(const Json::Value& in);
     answer dispatch(const config::service& service, const execute_request& request, clock::time_point until);
-    [[nodiscard]] result<const config::service*> service_for(const std::string& service,
-                                                             const std::string& database) const;
+    /// The service a request names, when the request may go there. A copy: a
+    /// newer configuration may replace it while the request runs.
+    [[nodiscard]] result<config::service> admit(const std::string& service, const std::string& database,
+                                                const std::string& kind, const std::string& request_id) const;
 
     std::string m_name;
     std::string m_zone;
--- a/src/cornellever/proxy/transaction_table.cpp
+++ b/src/cornellever/proxy/transaction_table.cpp
@@ -67,23 +67,13 @@
     });
 }
 
-asio::awaitable<result<transaction_table::pinned>>
-transaction_table::open_on(const instance_view& primary, const begin_request& request, clock::time_point until) {
-    auto acquired = co_await m_links.acquire(primary, std::min(m_links.limits().pool_wait, time_left(until)));
-    if (!acquired) {
-        co_return std::unexpected{acquired.error()};
-    }
-    Json::Value payload;
-    payload["term"] = static_cast<Json::UInt64>(primary.term);
-    auto begun = co_await backend_links::call_on(*acquired, "begin", payload, time_left(until));
-    if (!begun) {
-        acquired->release();
-        // Nothing was asked of the transaction yet, and a connection in
-        // doubt was closed: whatever it opened is rolled back.
-        const bool refused = ran_not(begun.error().code);
-        co_return std::unexpected{refused ? begun.error() : error{errc::unavailable, begun.error().message, {}}};
-    }
-    co_return pinned{0, primary, std::move(*acquired), request.request_id, {}, clock::now()};
+std::string transaction_table::keep(pinned opened, rpc::connection& caller) {
+    if (!caller.state) {
+        caller.state = std::make_unique<caller_state>(*this, caller.id);
+    }
+    auto id = "t" + std::to_string(m_next_id++);
+    m_open.emplace(id, std::move(opened));
+    return id;
 }
 
 answer transaction_table::begin(const config::service& service, const begin_request& request, rpc::connection& caller,
@@ -101,15 +91,11 @@
         if (!target) {
             co_return std::unexpected{target.error()};
         }
-        auto opened = co_await open_on(*target, request, until);
+        auto opened = co_await m_links.begin(*target, until, request.deadline);
         if (opened) {
-            opened->caller = caller.id;
-            opened->idle_limit = service.transaction_idle;
-            if (!caller.state) {
-                caller.state = std::make_unique<caller_state>(*this, caller.id);
-            }
-            const auto id = "t" + std::to_string(m_next_id++);
-            m_open.emplace(id, std::move(*opened));
+            const auto id = keep(pinned{caller.id, *target, std::move(*opened), request.request_id,
+                                        service.transaction_idle, clock::now()},
+                                 caller);
             Json::Value out;
             out["transaction"] = id;
             out["session"] = to_json(request.session);
--- a/src/cornellever/proxy/transaction_table.hpp
+++ b/src/cornellever/proxy/transaction_table.hpp
@@ -52,8 +52,7 @@
         bool busy{false};
     };
 
-    asio::awaitable<result<pinned>> open_on(const instance_view& primary, const begin_request& request,
-                                            clock::time_point until);
+    [[nodiscard]] std::string keep(pinned opened, rpc::connection& caller);
     asio::awaitable<result<void>> commit_held(pinned& held, session_token& token, clock::time_point until);
     asio::awaitable<result<void>> settle_by_record(const pinned& held, error doubt, session_token& token,
                                                    clock::time_point until);
--- a/src/cornellever/proxy/write_path.cpp
+++ b/src/cornellever/proxy/write_path.cpp
@@ -22,12 +22,6 @@
     return std::min(try_deadline, time_left(until));
 }
 
-Json::Value begin_payload(const instance_view& primary) {
-    Json::Value out;
-    out["term"] = static_cast<Json::UInt64>(primary.term);
-    return out;
-}
-
 /// Rolls back and hands the connection on; one that is in doubt is closed
 /// instead, which makes the backend roll back by itself.
 asio::awaitable<void> undo(pooled_connection& link) {
@@ -125,16 +119,11 @@
 }
 
 answer write_path::once_on(const instance_view& primary, const execute_request& request, clock::time_point until) {
-    auto acquired = co_await m_links.acquire(primary, std::min(m_links.limits().pool_wait, time_left(until)));
-    if (!acquired) {
-        co_return std::unexpected{acquired.error()};
-    }
-    auto& link = *acquired;
-    auto begun = co_await backend_links::call_on(link, "begin", begin_payload(primary), try_time(until));
+    auto begun = co_await m_links.begin(primary, until, try_deadline);
     if (!begun) {
-        link.release();
-        co_return std::unexpected{before_commit(begun.error())};
+        co_return std::unexpected{begun.error()};
     }
+    auto& link = *begun;
     auto found = co_await m_record.find(link, primary, request.request_id, try_time(until));
     if (!found || *found) {
         co_await undo(link);
@@ -195,16 +184,11 @@
 
 answer write_path::look_up(const instance_view& primary, const std::string& request_id, session_token& token,
                            clock::time_point until) {
-    auto acquired = co_await m_links.acquire(primary, std::min(m_links.limits().pool_wait, time_left(until)));
-    if (!acquired) {
-        co_return std::unexpected{acquired.error()};
-    }
-    auto& link = *acquired;
-    auto begun = co_await backend_links::call_on(link, "begin", begin_payload(primary), try_time(until));
+    auto begun = co_await m_links.begin(primary, until, try_deadline);
     if (!begun) {
-        link.release();
         co_return std::unexpected{begun.error()};
     }
+    auto& link = *begun;
     auto found = co_await m_record.find(link, primary, request_id, try_time(until));
     co_await undo(link);
     if (!found) {
--- a/src/cornellever/rpc/fwd.hpp
+++ b/src/cornellever/rpc/fwd.hpp
@@ -6,5 +6,6 @@
 struct connection_state;
 class server;
 class channel;
+class kept_channel;
 
 } // namespace cornellever::rpc
