--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,11 +12,12 @@
 source scripts/clang16.sh
 flags=("${CLANG16_FLAGS[@]}" -O1 -g -Isrc -fsanitize=address,undefined -fno-sanitize-recover=undefined)
 sources=(src/cornellever/config/ini_text.cpp src/cornellever/config/json.cpp src/cornellever/config/load.cpp src/cornellever/config/model.cpp
+  src/cornellever/config/words.cpp
   src/cornellever/core/asio.cpp src/cornellever/core/error.cpp src/cornellever/ini/reader.cpp
   src/cornellever/proxy/group_record.cpp src/cornellever/proxy/request.cpp src/cornellever/proxy/session_token.cpp
   src/cornellever/rpc/envelope.cpp)
 printf '%s\n' "${sources[@]}" tests/fuzz/config.cpp tests/fuzz/request.cpp |
-  xargs -P "$(nproc)" -I{} bash -c 'o="$1/$(echo "$2" | tr / _).o"; [ "$o" -nt "$2" ] || clang++-16 "${@:3}" -fsanitize=fuzzer-no-link -c "$2" -o "$o"' \
+  xargs -P "$(nproc)" -I{} bash -c 'o="$1/$(echo "$2" | tr / _).o"; [ -e "$o" ] && [ -z "$(find src tests/fuzz -newer "$o" -print -quit)" ] || clang++-16 "${@:3}" -fsanitize=fuzzer-no-link -c "$2" -o "$o"' \
     bash "$out" {} "${flags[@]}" 2>"$out/compile.log" || { cat "$out/compile.log"; exit 1; }
 objects=()
 for source in "${sources[@]}"; do objects+=("$out/$(echo "$source" | tr / _).o"); done
--- a/src/cornellever/proxy/settings.cpp
+++ b/src/cornellever/proxy/settings.cpp
@@ -1,9 +1,9 @@
 #include "cornellever/proxy/settings.hpp"
 
 #include <array>
-#include <sstream>
 #include <utility>
 
+#include "cornellever/config/words.hpp"
 #include "cornellever/ini/reader.hpp"
 
 namespace cornellever::proxy {
@@ -55,8 +55,7 @@
     if (!parse_endpoint(text.platform, out.platform)) {
         findings.push_back(bad_address("platform", text.platform));
     }
-    std::istringstream peers{text.peers};
-    for (std::string item; std::getline(peers >> std::ws, item, ',');) {
+    for (const auto& item : config::split_list(text.peers)) {
         tcp::endpoint where;
         if (parse_endpoint(item, where)) {
             out.peers.push_back(where);
