A silent connection's transaction is ended over another one

Its figures: requests with ids waited out 15 s, no error but busy is retried that long, so the write lock was held. What holds it: a transaction open on a connection at the moment it goes silent. The proxy gives the connection up after its deadline, but the backend never sees it close and keeps the transaction. Confirmed with a fake in place of waiting for luck: the new unit test fails without the mechanism and passes with it.

Change: `begin` names the transaction; a connection that ends with one open has it ended over a fresh connection (`terminate`). Statements and commits of transactions are given up after 2 s like other writes, not the caller's whole deadline. The server's slots of silent connections stay taken in the stand-in; a real server drops them.

Also found by reading: a stand-in whose database was rebuilt forgot that it had undone a caller's transaction, and would have run the next statement of it by itself. The flag is kept, and a statement that ran outside its transaction is outcome_unknown (unit test).

--- a/src/cornellever/backend/client.hpp
+++ b/src/cornellever/backend/client.hpp
@@ -10,8 +10,10 @@
 
 /// One caller connection's SQLite connection and open transaction.
 struct instance::client : rpc::connection_state {
-    client(sqlite_connection connection, std::uint64_t of_generation, std::set<client*>& all)
-        : db{std::move(connection)}
+    client(std::uint64_t connection_id, sqlite_connection connection, std::uint64_t of_generation,
+           std::set<client*>& all)
+        : id{connection_id}
+        , db{std::move(connection)}
         , generation{of_generation}
         , m_all{all} {
         m_all.insert(this);
@@ -29,6 +31,8 @@
         pending.clear();
     }
 
+    /// The caller connection's id, by which `terminate` names it.
+    std::uint64_t id;
     sqlite_connection db;
     std::uint64_t generation;
     bool in_transaction{false};
--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -55,6 +55,7 @@
     add("begin", &instance::begin);
     add("commit", &instance::commit);
     add("rollback", &instance::rollback);
+    add("terminate", &instance::terminate);
     add("await_received", &instance::await_received);
     add("replicate", &instance::replicate);
     add("quiesce", &instance::quiesce);
--- a/src/cornellever/backend/instance.hpp
+++ b/src/cornellever/backend/instance.hpp
@@ -42,7 +42,7 @@
 /// back its open transactions.
 ///
 /// Methods for callers: `execute`, `begin`, `commit`, `rollback`,
-/// `await_received`, `status`, `dump`. For promotion: `quiesce`, `fence`,
+/// `terminate`, `await_received`, `status`, `dump`. For promotion: `quiesce`, `fence`,
 /// `promote`. Between instances: `replicate`. For tests: `fault.set`.
 /// Single-threaded.
 class instance {
@@ -70,6 +70,9 @@
     answer begin(params in, rpc::connection& conn);
     answer commit(params in, rpc::connection& conn);
     answer rollback(params in, rpc::connection& conn);
+    /// Undoes the open transaction of another connection, named by what its
+    /// `begin` answered; nothing when it has none.
+    answer terminate(params in, rpc::connection& conn);
     answer status(params in, rpc::connection& conn);
     answer dump(params in, rpc::connection& conn);
     answer set_fault(params in, rpc::connection& conn);
@@ -83,6 +86,8 @@
     asio::awaitable<void> after_effect(rpc::connection& conn);
     [[nodiscard]] result<void> admit_read(params in) const;
     [[nodiscard]] result<void> admit_write(params in) const;
+    /// Tells a caller, once, that stepping down undid its transaction.
+    [[nodiscard]] result<void> tell_of_abort(client& session) const;
     [[nodiscard]] std::unexpected<error> refuse(const error& refusal) const;
     [[nodiscard]] Json::Value where_written() const;
     [[nodiscard]] std::chrono::milliseconds staleness() const;
--- a/src/cornellever/backend/statements.cpp
+++ b/src/cornellever/backend/statements.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "cornellever/backend/client.hpp"
 #include "cornellever/backend/instance.hpp"
 #include "cornellever/core/log.hpp"
@@ -26,7 +28,13 @@
     if (!opened) {
         co_return std::unexpected{opened.error()};
     }
-    conn.state = std::make_unique<client>(std::move(*opened), m_data.generation(), m_clients);
+    // A rebuilt database takes a new connection to it. That its caller's
+    // transaction was undone must not get lost with the old one: the next
+    // statement would run outside any transaction.
+    const bool aborted = known != nullptr && known->aborted;
+    auto fresh = std::make_unique<client>(conn.id, std::move(*opened), m_data.generation(), m_clients);
+    fresh->aborted = aborted;
+    conn.state = std::move(fresh);
     co_return static_cast<client*>(conn.state.get());
 }
 
@@ -86,6 +94,14 @@
     }
 }
 
+result<void> instance::tell_of_abort(client& session) const {
+    if (!std::exchange(session.aborted, false)) {
+        return {};
+    }
+    return fail(errc::fenced, "the transaction was rolled back: instance " + m_settings.name +
+                                  " is no longer the primary it began on");
+}
+
 std::unexpected<error> instance::refuse(const error& refusal) const {
     log_event(event::backend_refused, "instance=" + m_settings.name + " reason=\"" + refusal.message + "\"");
     return std::unexpected{refusal};
@@ -102,10 +118,8 @@
         co_return std::unexpected{attached.error()};
     }
     auto& session = **attached;
-    if (session.aborted) {
-        session.aborted = false;
-        co_return fail(errc::fenced, "the transaction was rolled back: instance " + m_settings.name +
-                                         " is no longer the primary it began on");
+    if (auto standing = tell_of_abort(session); !standing) {
+        co_return std::unexpected{standing.error()};
     }
     ++m_statements;
     const auto sql = in["sql"].asString();
@@ -167,7 +181,9 @@
     }
     session.in_transaction = true;
     session.pending.clear();
-    co_return Json::Value{Json::objectValue};
+    Json::Value out;
+    out["session"] = static_cast<Json::UInt64>(session.id);
+    co_return out;
 }
 
 instance::answer instance::commit(params, rpc::connection& conn) {
@@ -176,10 +192,8 @@
         co_return std::unexpected{attached.error()};
     }
     auto& session = **attached;
-    if (session.aborted) {
-        session.aborted = false;
-        co_return fail(errc::fenced, "the transaction was rolled back: instance " + m_settings.name +
-                                         " is no longer the primary it began on");
+    if (auto standing = tell_of_abort(session); !standing) {
+        co_return std::unexpected{standing.error()};
     }
     if (!session.in_transaction) {
         co_return fail(errc::bad_request, "no transaction is open on this connection");
@@ -214,4 +228,15 @@
     co_return Json::Value{Json::objectValue};
 }
 
+instance::answer instance::terminate(params in, rpc::connection&) {
+    const auto id = in["session"].asUInt64();
+    for (auto* item : m_clients) {
+        if (item->id == id && item->in_transaction) {
+            item->undo();
+            item->aborted = true;
+        }
+    }
+    co_return Json::Value{Json::objectValue};
+}
+
 } // namespace cornellever::backend
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -6,6 +6,7 @@
 #include "cornellever/core/scoped_count.hpp"
 #include "cornellever/proxy/answer.hpp"
 #include "cornellever/proxy/quorum.hpp"
+#include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::proxy {
 
@@ -123,6 +124,7 @@
     payload["term"] = static_cast<Json::UInt64>(target.term);
     auto begun = co_await call_on(*acquired, "begin", payload, std::min(try_deadline, time_left(until)));
     if (begun) {
+        acquired->in_transaction_of(rpc::uint_field(*begun, "session"));
         co_return acquired;
     }
     acquired->release();
--- a/src/cornellever/proxy/pool.cpp
+++ b/src/cornellever/proxy/pool.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto queue_retry_after = std::chrono::milliseconds{500};
+constexpr auto terminate_deadline = std::chrono::milliseconds{1000};
 
 } // namespace
 
@@ -73,6 +74,18 @@
     return nullptr;
 }
 
+void pool::terminate(std::uint64_t session) {
+    asio::co_spawn(
+        m_executor,
+        [](asio::any_io_executor executor, tcp::endpoint peer, std::uint64_t name) -> asio::awaitable<void> {
+            rpc::channel link{executor, peer};
+            Json::Value params;
+            params["session"] = static_cast<Json::UInt64>(name);
+            (void)co_await link.call("terminate", params, terminate_deadline);
+        }(m_executor, m_peer, session),
+        asio::detached);
+}
+
 void pool::suspect_idle() {
     log_event(event::connections_suspect,
               "instance=" + to_string(m_peer) + " idle_closed=" + std::to_string(m_idle.size()));
--- a/src/cornellever/proxy/pool.hpp
+++ b/src/cornellever/proxy/pool.hpp
@@ -42,6 +42,10 @@
     /// an abandoned transaction: the backend rolls back what it held.
     void discard(lease connection);
 
+    /// Has the backend undo the transaction of the connection it calls
+    /// `session`, over a fresh connection; nothing waits for it.
+    void terminate(std::uint64_t session);
+
     /// Closes every idle connection. Called when a call timed out: whatever
     /// lost track of that connection (a middlebox, a half-dead machine) has
     /// likely lost the idle ones too, and each would cost another caller a
--- a/src/cornellever/proxy/transaction_table.cpp
+++ b/src/cornellever/proxy/transaction_table.cpp
@@ -10,6 +10,10 @@
 
 constexpr auto retry_pause = std::chrono::milliseconds{20};
 
+/// A statement that got no answer by then is given up with its transaction:
+/// its connection may have gone silent, and its locks stop other writers.
+constexpr auto try_deadline = std::chrono::milliseconds{2000};
+
 /// Whether only the record of request ids can tell what became of a commit:
 /// its outcome is unknown, or its id was found taken.
 bool needs_record(const error& failure) noexcept {
@@ -118,9 +122,16 @@
     auto& transaction = **held;
     transaction.busy = true;
     auto out = co_await backend_links::call_on(transaction.connection, "execute", statement_payload(request),
-                                               time_left(until));
+                                               std::min(try_deadline, time_left(until)));
     transaction.busy = false;
     transaction.last_used = clock::now();
+    if (out && out->isObject() && (*out)["in_transaction"] == false) {
+        // The backend had ended the transaction (a restart, a change of
+        // role) and ran this statement by itself: never what its caller asked.
+        m_open.erase(request.transaction);
+        co_return fail(errc::outcome_unknown,
+                       "transaction " + request.transaction + " had ended when this statement ran");
+    }
     if (out) {
         auto served = statement_answer(*out, request.session, transaction.primary);
         served.removeMember("served_by"); // `begin` said it
@@ -170,8 +181,8 @@
             co_return fail(code, "the transaction was rolled back: " + added.error().message);
         }
     }
-    auto committed =
-        co_await backend_links::call_on(held.connection, "commit", Json::Value{Json::objectValue}, time_left(until));
+    auto committed = co_await backend_links::call_on(held.connection, "commit", Json::Value{Json::objectValue},
+                                                     std::min(try_deadline, time_left(until)));
     held.connection.release();
     if (!committed) {
         co_return std::unexpected{committed.error()};
--- a/tests/unit/fake_backend.hpp
+++ b/tests/unit/fake_backend.hpp
@@ -17,6 +17,7 @@
     explicit fake_backend(asio::io_context& io) : m_server{io.get_executor()} {
         m_server.on("begin", [this](const Json::Value&, rpc::connection& conn) { return begin(conn); });
         m_server.on("execute", [this](const Json::Value& in, rpc::connection& conn) { return execute(in, conn); });
+        m_server.on("terminate", [this](const Json::Value& in, rpc::connection&) { return terminate(in); });
         m_server.on("rollback", [this](const Json::Value&, rpc::connection& conn) { return rollback(conn); });
         address = m_server.listen(tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}).value();
         m_server.start();
@@ -34,6 +35,13 @@
 private:
     asio::awaitable<result<Json::Value>> begin(rpc::connection& conn) {
         open.insert(conn.id);
+        Json::Value out;
+        out["session"] = static_cast<Json::UInt64>(conn.id);
+        co_return out;
+    }
+
+    asio::awaitable<result<Json::Value>> terminate(const Json::Value& in) {
+        open.erase(in["session"].asUInt64());
         co_return Json::Value{Json::objectValue};
     }
 
--- a/tests/unit/transactions.cpp
+++ b/tests/unit/transactions.cpp
@@ -102,6 +102,27 @@
     });
 }
 
+// The backend lost a transaction (it restarted, or changed role) and ran the
+// next statement of it by itself. The caller is not told that all is well,
+// and nothing more of the transaction runs.
+BOOST_AUTO_TEST_CASE(a_transaction_that_the_backend_lost_is_over) {
+    rig at;
+    run_coroutine(at.io, [&]() -> asio::awaitable<void> {
+        rpc::connection caller;
+        caller.id = 1;
+        auto begun = co_await at.table.begin(at.service, begin_on_orders(), caller, rig::clock::now() + 1s);
+        BOOST_REQUIRE(begun.has_value());
+        at.backend.open.clear();
+        execute_request statement;
+        statement.sql = "INSERT";
+        statement.transaction = (*begun)["transaction"].asString();
+        auto stray = co_await at.table.execute(statement, caller, rig::clock::now() + 1s);
+        BOOST_REQUIRE(!stray.has_value());
+        BOOST_TEST((stray.error().code == errc::outcome_unknown));
+        BOOST_TEST(at.table.open() == 0u);
+    });
+}
+
 // Something between proxy and backend forgot every open connection; new ones
 // work. The first call on a silent one costs its deadline; the idle ones are
 // dropped with it, so the next caller does not pay as well.
@@ -124,6 +145,29 @@
     });
 }
 
+// A connection goes silent in the middle of a transaction. The backend never
+// sees it close, so the transaction would hold its locks for good; it is
+// ended over another connection.
+BOOST_AUTO_TEST_CASE(a_silent_connections_transaction_is_ended_over_another) {
+    rig at;
+    run_coroutine(at.io, [&]() -> asio::awaitable<void> {
+        rpc::connection caller;
+        caller.id = 1;
+        auto begun = co_await at.table.begin(at.service, begin_on_orders(), caller, rig::clock::now() + 1s);
+        BOOST_REQUIRE(begun.has_value());
+        BOOST_TEST(at.backend.open.size() == 1u);
+        at.backend.silent_up_to = 1000;
+        execute_request statement;
+        statement.sql = "INSERT";
+        statement.transaction = (*begun)["transaction"].asString();
+        auto lost = co_await at.table.execute(statement, caller, rig::clock::now() + 100ms);
+        BOOST_REQUIRE(!lost.has_value());
+        BOOST_TEST((lost.error().code == errc::not_run));
+        co_await sleep_for(100ms);
+        BOOST_TEST(at.backend.open.empty());
+    });
+}
+
 // While another instance leads, a caller waits on the old, silent primary.
 // It is told at once that its answer will not come.
 BOOST_AUTO_TEST_CASE(callers_of_a_replaced_silent_primary_are_freed) {
