--- a/scripts/measures.sh
+++ b/scripts/measures.sh
@@ -26,7 +26,7 @@
     "$bin" bench verify "${proxies[@]}" "${on[@]}" --duration-ms 4000 --seed "$((replica_wait + 1))" | head -8
   done
   echo "== $example: failover gap (naive: the primary's whole absence)"
-  "$bin" bench gap "${proxies[@]}" "${on[@]}" --rounds 10
+  "$bin" bench gap "${proxies[@]}" "${on[@]}" --rounds 10 --direct "$ip:7900"
   echo "== $example: a configuration in force on 2 proxies, 20 applies"
   for replica_wait in $(seq 20); do
     printf '[service %s]\nreplica_wait_ms = %s\n' "$service" "$replica_wait" >"$work/config/95-wait.ini"
--- a/src/cornellever/bench/gap.cpp
+++ b/src/cornellever/bench/gap.cpp
@@ -7,6 +7,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr auto call_deadline = std::chrono::milliseconds{2000};
+constexpr auto naive_deadline = std::chrono::milliseconds{200};
 constexpr auto write_pause = std::chrono::milliseconds{5};
 constexpr auto settle_limit = std::chrono::seconds{15};
 constexpr auto settle_pause = std::chrono::milliseconds{100};
@@ -35,6 +36,9 @@
         for (int round = 0; round < m_plan.rounds && m_report.failure.empty(); ++round) {
             co_await play_round();
         }
+        if (m_plan.naive) {
+            co_await play_naive(*m_plan.naive);
+        }
     }
 
     gap_report& report() { return m_report; }
@@ -60,6 +64,29 @@
         co_await await_replica(primary);
     }
 
+    /// Writes straight to the one instance while it is away.
+    asio::awaitable<void> play_naive(tcp::endpoint naive) {
+        rpc::channel setup{m_executor, naive};
+        (void)co_await setup.call("execute", statement(create_table), call_deadline);
+        co_await set_frozen(naive, true);
+        const auto started = clock::now();
+        asio::co_spawn(
+            m_executor,
+            [](gap_run& self, tcp::endpoint where) -> asio::awaitable<void> {
+                co_await sleep_for(self.m_plan.absence);
+                co_await self.set_frozen(where, false);
+            }(*this, naive),
+            asio::detached);
+        auto params = statement(insert_row);
+        params["params"].append(0);
+        for (bool back = false; !back && clock::now() - started < longest_gap;) {
+            rpc::channel link{m_executor, naive};
+            auto answer = co_await link.call("execute", params, naive_deadline);
+            back = answer.has_value();
+        }
+        m_report.naive_gap = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - started);
+    }
+
     asio::awaitable<bool> acknowledged_within(const char* sql, clock::duration limit) {
         const auto until = clock::now() + limit;
         for (std::size_t turn = 0; clock::now() < until; ++turn) {
--- a/src/cornellever/bench/gap.hpp
+++ b/src/cornellever/bench/gap.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,11 @@
     std::vector<tcp::endpoint> proxies;
     bench_target target;
     int rounds{5};
+    /// The naive version's only instance; frozen once for `absence` when given.
+    std::optional<tcp::endpoint> naive;
+    /// How long the naive version's primary stays away: as long as nobody is
+    /// awake to do anything about it, here kept short.
+    std::chrono::milliseconds absence{5000};
 };
 
 /// What callers saw over the rounds.
@@ -23,6 +29,8 @@
     /// From the freeze to the next acknowledged write, per round.
     std::vector<std::chrono::milliseconds> gaps;
     metrics::latency histogram;
+    /// The naive version's gap for its one absence.
+    std::optional<std::chrono::milliseconds> naive_gap;
     /// Why the run ended early; empty when every round was played.
     std::string failure;
 };
--- a/src/cornellever/bench/main.cpp
+++ b/src/cornellever/bench/main.cpp
@@ -133,6 +133,10 @@
     std::printf("failover gap over %zu rounds: p50 %.0f ms p99 %.0f ms max %lld ms\n", report.gaps.size(),
                 report.histogram.quantile_us(0.5) / 1000, report.histogram.quantile_us(0.99) / 1000,
                 report.gaps.empty() ? 0LL : static_cast<long long>(std::ranges::max(report.gaps).count()));
+    if (report.naive_gap) {
+        std::printf("naive version, primary away for %lld ms: gap %lld ms\n",
+                    static_cast<long long>(plan.absence.count()), static_cast<long long>(report.naive_gap->count()));
+    }
     if (!report.failure.empty()) {
         std::printf("ended early: %s\n", report.failure.c_str());
     }
@@ -162,8 +166,10 @@
     TCLAP::ValueArg<std::string> script{"", "script", "session script (JSON)", false, "", "path", cmd};
     TCLAP::ValueArg<std::string> transcript{"",     "transcript", "write the normalised session here", false, "",
                                             "path", cmd};
-    TCLAP::ValueArg<std::string> direct{"",        "direct", "IP:PORT of the backend primary (load)", false, "",
-                                        "address", cmd};
+    TCLAP::ValueArg<std::string> direct{
+        "",    "direct", "IP:PORT of the backend primary (load) or the naive version (gap, differential)",
+        false, "",       "address",
+        cmd};
     TCLAP::ValueArg<std::string> service{"", "service", "service (load)", false, "stockbook", "name", cmd};
     TCLAP::ValueArg<std::string> database{"", "database", "database (load)", false, "catalogue", "name", cmd};
     TCLAP::ValueArg<std::string> sql{
@@ -207,10 +213,14 @@
                                 .duration = std::chrono::milliseconds{millis.getValue()},
                                 .seed = seed.getValue()});
     }
+    tcp::endpoint backend;
     if (mode.getValue() == "gap") {
-        return run_gap_mode({targets, on, rounds.getValue()});
+        bench::gap_plan plan{targets, on, rounds.getValue(), std::nullopt};
+        if (parse_endpoint(direct.getValue(), backend)) {
+            plan.naive = backend;
+        }
+        return run_gap_mode(plan);
     }
-    tcp::endpoint backend;
     if (mode.getValue() == "differential" && parse_endpoint(direct.getValue(), backend)) {
         return run_differential_mode({targets, backend, on, sessions.getValue(), steps.getValue(), seed.getValue()});
     }
@@ -220,7 +230,7 @@
     }
     std::fprintf(stderr, "usage: cornellever bench session --proxy A --proxy B --script FILE [--transcript OUT]\n"
                          "       cornellever bench verify --proxy A --proxy B [--sessions N --duration-ms M --seed S]\n"
-                         "       cornellever bench gap --proxy A --proxy B [--rounds N]\n"
+                         "       cornellever bench gap --proxy A --proxy B [--rounds N --direct NAIVE]\n"
                          "       cornellever bench differential --proxy A --proxy B --direct NAIVE [--seed S]\n"
                          "       cornellever bench load --proxy A --direct BACKEND [--sessions N --duration-ms M]\n"
                          "       cornellever bench call --target ADDR --method M [--params JSON --sessions N]\n"
