Read again: one undo, one deadline for writes, dead code out

Rolling back and handing a connection on stood in write_path and in transaction_table, each with its own copy of the 2 s deadline for writes: both are backend_links' now. Nothing called topology::note_position, chart::actions and write_log::size any more.

Conclusion: behaviour as before.

--- a/src/cornellever/backend/log.hpp
+++ b/src/cornellever/backend/log.hpp
@@ -63,9 +63,6 @@
     /// Whether the log holds, at `position`, the entry written in `term`.
     [[nodiscard]] bool holds(std::uint64_t position, std::uint64_t term) const;
 
-    /// Entries held.
-    [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
-
 private:
     std::deque<log_entry> m_entries;
     std::uint64_t m_last{0};
--- a/src/cornellever/core/chart.cpp
+++ b/src/cornellever/core/chart.cpp
@@ -66,13 +66,4 @@
     return fail(errc::internal, "the chart has no '" + std::string{event} + "' in state '" + std::string{state} + "'");
 }
 
-std::vector<std::string> chart::actions() const {
-    std::vector<std::string> out;
-    out.reserve(m_states.size());
-    for (const auto& [name, item] : m_states) {
-        out.push_back(item.action);
-    }
-    return out;
-}
-
 } // namespace cornellever
--- a/src/cornellever/core/chart.hpp
+++ b/src/cornellever/core/chart.hpp
@@ -3,7 +3,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "cornellever/core/error.hpp"
 
@@ -29,9 +28,6 @@
     /// does not say.
     [[nodiscard]] result<std::string> next(std::string_view state, std::string_view event) const;
 
-    /// Every action named, so that code can check it knows them all.
-    [[nodiscard]] std::vector<std::string> actions() const;
-
 private:
     struct state {
         std::string action;
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -145,6 +145,15 @@
     co_return out;
 }
 
+asio::awaitable<void> backend_links::undo(pooled_connection& connection, std::chrono::milliseconds deadline) {
+    auto undone = co_await call_on(connection, "rollback", Json::Value{Json::objectValue}, deadline);
+    if (undone) {
+        connection.release();
+    } else {
+        connection.discard();
+    }
+}
+
 asio::awaitable<result<Json::Value>> backend_links::call(const instance_view& target, std::string_view method,
                                                          const Json::Value& payload,
                                                          std::chrono::milliseconds pool_wait,
--- a/src/cornellever/proxy/backend_links.hpp
+++ b/src/cornellever/proxy/backend_links.hpp
@@ -17,6 +17,11 @@
 
 namespace cornellever::proxy {
 
+/// A write, or a statement of a transaction, that got no answer by then is
+/// given up, however far off the caller's deadline is: its connection may have
+/// gone silent, and its locks stop other writers.
+inline constexpr auto write_try_deadline = std::chrono::milliseconds{2000};
+
 /// Bounds of what one request may wait for on its way to a backend.
 struct link_limits {
     /// For a pooled connection of the primary, and of a replica (which has
@@ -77,6 +82,10 @@
     static asio::awaitable<result<Json::Value>> call_on(const pooled_connection& connection, std::string_view method,
                                                         const Json::Value& payload, std::chrono::milliseconds deadline);
 
+    /// Rolls back and hands the connection on; one that is in doubt is closed,
+    /// which rolls back as well.
+    static asio::awaitable<void> undo(pooled_connection& connection, std::chrono::milliseconds deadline);
+
     /// Waits until a majority of the database's instances hold `mark`, which
     /// its primary has. Errors: `outcome_unknown`.
     asio::awaitable<result<void>> confirm(const instance_view& primary, write_mark mark,
--- a/src/cornellever/proxy/topology.cpp
+++ b/src/cornellever/proxy/topology.cpp
@@ -72,13 +72,6 @@
     }
 }
 
-void topology::note_position(std::string_view key, std::uint64_t term, std::uint64_t position) {
-    const auto found = m_instances.find(key);
-    if (found != m_instances.end() && found->second.term == term) {
-        found->second.position = std::max(found->second.position, position);
-    }
-}
-
 const instance_view* topology::primary(std::string_view service, std::string_view database,
                                        std::chrono::steady_clock::time_point now) const {
     const instance_view* best = nullptr;
--- a/src/cornellever/proxy/topology.hpp
+++ b/src/cornellever/proxy/topology.hpp
@@ -84,9 +84,6 @@
     /// and clears the mark of all others.
     void set_leaving(const std::set<std::string, std::less<>>& leaving, std::chrono::steady_clock::time_point now);
 
-    /// Notes a position that a replica's own answer showed applied.
-    void note_position(std::string_view key, std::uint64_t term, std::uint64_t position);
-
     /// The healthy primary of a database with the highest term, or null.
     [[nodiscard]] const instance_view* primary(std::string_view service, std::string_view database,
                                                std::chrono::steady_clock::time_point now) const;
--- a/src/cornellever/proxy/transaction_table.cpp
+++ b/src/cornellever/proxy/transaction_table.cpp
@@ -10,10 +10,6 @@
 
 constexpr auto retry_pause = std::chrono::milliseconds{20};
 
-/// A statement that got no answer by then is given up with its transaction:
-/// its connection may have gone silent, and its locks stop other writers.
-constexpr auto try_deadline = std::chrono::milliseconds{2000};
-
 /// Whether only the record of request ids can tell what became of a commit:
 /// its outcome is unknown, or its id was found taken.
 bool needs_record(const error& failure) noexcept {
@@ -122,7 +118,7 @@
     auto& transaction = **held;
     transaction.busy = true;
     auto out = co_await backend_links::call_on(transaction.connection, "execute", statement_payload(request),
-                                               std::min(try_deadline, time_left(until)));
+                                               std::min(write_try_deadline, time_left(until)));
     transaction.busy = false;
     transaction.last_used = clock::now();
     if (out && out->isObject() && (*out)["in_transaction"] == false) {
@@ -182,7 +178,7 @@
         }
     }
     auto committed = co_await backend_links::call_on(held.connection, "commit", Json::Value{Json::objectValue},
-                                                     std::min(try_deadline, time_left(until)));
+                                                     std::min(write_try_deadline, time_left(until)));
     held.connection.release();
     if (!committed) {
         co_return std::unexpected{committed.error()};
@@ -213,14 +209,7 @@
         co_return std::unexpected{taken.error()};
     }
     auto held = std::move(*taken);
-    auto undone =
-        co_await backend_links::call_on(held.connection, "rollback", Json::Value{Json::objectValue}, time_left(until));
-    // Closing rolls back as well: the caller got what it asked for either way.
-    if (undone) {
-        held.connection.release();
-    } else {
-        held.connection.discard();
-    }
+    co_await backend_links::undo(held.connection, time_left(until));
     Json::Value out;
     out["session"] = to_json(request.session);
     co_return out;
--- a/src/cornellever/proxy/write_path.cpp
+++ b/src/cornellever/proxy/write_path.cpp
@@ -11,26 +11,11 @@
 /// Pause before what was certainly not run is sent again.
 constexpr auto retry_pause = std::chrono::milliseconds{20};
 
-/// A write that got no answer by then is in doubt, however far off the
-/// caller's deadline is: its connection may have gone silent.
-constexpr auto try_deadline = std::chrono::milliseconds{2000};
-
 constexpr auto confirm_wait = std::chrono::milliseconds{2000};
 constexpr auto doubt_retry_after = std::chrono::milliseconds{1000};
 
 std::chrono::milliseconds try_time(std::chrono::steady_clock::time_point until) {
-    return std::min(try_deadline, time_left(until));
-}
-
-/// Rolls back and hands the connection on; one that is in doubt is closed
-/// instead, which makes the backend roll back by itself.
-asio::awaitable<void> undo(pooled_connection& link) {
-    auto undone = co_await backend_links::call_on(link, "rollback", Json::Value{Json::objectValue}, try_deadline);
-    if (undone) {
-        link.release();
-    } else {
-        link.discard();
-    }
+    return std::min(write_try_deadline, time_left(until));
 }
 
 /// The error of a step before COMMIT was sent. Closing the connection makes
@@ -119,14 +104,14 @@
 }
 
 answer write_path::once_on(const instance_view& primary, const execute_request& request, clock::time_point until) {
-    auto begun = co_await m_links.begin(primary, until, try_deadline);
+    auto begun = co_await m_links.begin(primary, until, write_try_deadline);
     if (!begun) {
         co_return std::unexpected{begun.error()};
     }
     auto& link = *begun;
     auto found = co_await m_record.find(link, primary, request.request_id, try_time(until));
     if (!found || *found) {
-        co_await undo(link);
+        co_await backend_links::undo(link, write_try_deadline);
         if (!found) {
             co_return std::unexpected{before_commit(found.error())};
         }
@@ -134,7 +119,7 @@
     }
     auto ran = co_await run_and_record(link, request, until);
     if (!ran) {
-        co_await undo(link);
+        co_await backend_links::undo(link, write_try_deadline);
         co_return std::unexpected{before_commit(ran.error())};
     }
     auto committed = co_await backend_links::call_on(link, "commit", Json::Value{Json::objectValue}, try_time(until));
@@ -184,13 +169,13 @@
 
 answer write_path::look_up(const instance_view& primary, const std::string& request_id, session_token& token,
                            clock::time_point until) {
-    auto begun = co_await m_links.begin(primary, until, try_deadline);
+    auto begun = co_await m_links.begin(primary, until, write_try_deadline);
     if (!begun) {
         co_return std::unexpected{begun.error()};
     }
     auto& link = *begun;
     auto found = co_await m_record.find(link, primary, request_id, try_time(until));
-    co_await undo(link);
+    co_await backend_links::undo(link, write_try_deadline);
     if (!found) {
         co_return std::unexpected{found.error()};
     }
