--- /dev/null
+++ b/src/cornellever/cluster/metadata_store.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/error.hpp"
+
+namespace cornellever::cluster {
+
+/// A row of the metadata store.
+struct store_row {
+    std::string key;
+    std::string value;
+    /// The store's version at the row's last change.
+    std::uint64_t version{0};
+    bool deleted{false};
+};
+
+/// Rows as of one version of the store.
+struct store_rows {
+    std::vector<store_row> rows;
+    std::uint64_t version{0};
+    /// The store's own steady clock at its answer.
+    std::chrono::milliseconds store_time{0};
+};
+
+/// The store of what must last. Errors: `unavailable` and `busy` (not done),
+/// `behind` (the history asked for is gone: read all again), `conflict` (a
+/// condition did not hold), `outcome_unknown` (may have been done, or may be
+/// done later if its condition still holds).
+template <typename T>
+concept metadata_store = requires(T store, std::string table, std::string key, std::string value, std::uint64_t version,
+                                  std::chrono::milliseconds wait) {
+    /// All rows of a table.
+    { store.list(table) } -> std::same_as<asio::awaitable<result<store_rows>>>;
+    /// Waits for changes after a version.
+    { store.changes(table, version, wait) } -> std::same_as<asio::awaitable<result<store_rows>>>;
+    /// One row; a row that does not exist has version 0.
+    { store.read(table, key) } -> std::same_as<asio::awaitable<result<store_row>>>;
+    /// Writes a row if its version is still `version` (0: it does not exist);
+    /// yields its new version.
+    { store.write_if(table, key, value, version) } -> std::same_as<asio::awaitable<result<std::uint64_t>>>;
+    { store.write(table, key, value) } -> std::same_as<asio::awaitable<result<std::uint64_t>>>;
+    { store.remove(table, key) } -> std::same_as<asio::awaitable<result<std::uint64_t>>>;
+};
+
+} // namespace cornellever::cluster
--- a/src/cornellever/core/role.hpp
+++ b/src/cornellever/core/role.hpp
@@ -13,5 +13,6 @@
 int proxy_main(std::span<char*> args);
 int ctl_main(std::span<char*> args);
 int bench_main(std::span<char*> args);
+int serve_main(std::span<char*> args);
 
 } // namespace cornellever
--- /dev/null
+++ b/src/cornellever/routing/backend_link.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <concepts>
+#include <expected>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/routing/model.hpp"
+#include "cornellever/sql/reply.hpp"
+#include "cornellever/sql/statement.hpp"
+
+namespace cornellever::routing {
+
+/// How an exchange on a connection ended without an answer.
+enum class link_failure {
+    /// The connection was broken before: the server has seen nothing of it.
+    not_sent,
+    /// The connection broke, or an answer was incomplete or not the expected
+    /// one, after the statements were handed to it.
+    broken,
+    /// No answer within the time given; the connection may be silent for good.
+    silent,
+};
+
+/// Why a connection could not be opened.
+enum class connect_failure { refused, silent, wrong_server, too_many_connections, failed };
+
+/// An answer, or how it failed to come.
+using link_reply = std::expected<sql::reply, link_failure>;
+
+/// A connection to a backend server. Statements sent together are answered in
+/// order; one exchange at a time. After a failure it is of no further use.
+template <typename T>
+concept backend_link = requires(T link, std::vector<sql::command> batch, std::size_t wanted,
+                                boot_clock::time_point until) {
+    /// Sends a batch and waits for the answer to number `wanted` of it.
+    { link.exchange(batch, wanted, until) } -> std::same_as<asio::awaitable<link_reply>>;
+    /// Sends a batch whose answers `settle` awaits; false when the connection
+    /// was broken before.
+    { link.post(batch) } -> std::same_as<bool>;
+    /// Waits for the answers still owed; yields the last of them.
+    { link.settle(until) } -> std::same_as<asio::awaitable<link_reply>>;
+    { link.usable() } -> std::same_as<bool>;
+    {link.close()};
+};
+
+/// Opens connections to backend servers.
+template <typename T>
+concept link_connector = requires(T connector, const backend_server& server, boot_clock::time_point until) {
+    typename T::link;
+    requires backend_link<typename T::link>;
+    {
+        connector.open(server, until)
+        } -> std::same_as<asio::awaitable<std::expected<std::unique_ptr<typename T::link>, connect_failure>>>;
+};
+
+[[nodiscard]] constexpr std::string_view to_string(link_failure why) noexcept {
+    switch (why) {
+    case link_failure::not_sent:
+        return "not_sent";
+    case link_failure::broken:
+        return "broken";
+    case link_failure::silent:
+        return "silent";
+    }
+    return "unknown";
+}
+
+[[nodiscard]] constexpr std::string_view to_string(connect_failure why) noexcept {
+    switch (why) {
+    case connect_failure::refused:
+        return "refused";
+    case connect_failure::silent:
+        return "silent";
+    case connect_failure::wrong_server:
+        return "wrong_server";
+    case connect_failure::too_many_connections:
+        return "too_many_connections";
+    case connect_failure::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
+} // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/routing/model.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+
+namespace cornellever::routing {
+
+/// How fresh a database's reads have to be.
+enum class consistency { primary, bounded_staleness, read_your_writes };
+
+/// A database that callers may name, and the replicated service behind it.
+struct database_route {
+    std::string database;
+    std::string service;
+    consistency reads{consistency::primary};
+    /// Bound of one statement.
+    std::chrono::milliseconds statement_timeout{0};
+    /// What callers aim at for a whole operation.
+    std::chrono::milliseconds target_latency{0};
+    /// How old a read may be; unused where reads go to the primary.
+    std::chrono::milliseconds max_staleness{0};
+    /// 0 is served first.
+    int priority{0};
+};
+
+/// A replicated database service.
+struct service_limits {
+    std::string service;
+    /// Connections that one backend server takes from all proxies together.
+    std::size_t max_connections{0};
+    /// Replicas that acknowledge a commit before the caller hears of it.
+    int synchronous_replicas{0};
+};
+
+/// One version of the operators' configuration; versions only grow.
+struct configuration {
+    std::uint64_t version{0};
+    std::map<std::string, database_route, std::less<>> routes;
+    std::map<std::string, service_limits, std::less<>> services;
+    /// A transaction whose caller is silent for longer may be ended.
+    std::chrono::milliseconds transaction_idle{0};
+};
+
+/// What a backend server says it is.
+enum class server_role { primary, replica };
+
+/// One backend server as it registered itself.
+struct backend_server {
+    std::string id;
+    std::string service;
+    tcp::endpoint address;
+    std::string data_center;
+    std::size_t slots{1};
+    bool draining{false};
+    server_role role{server_role::replica};
+};
+
+/// The registered backend servers at one version of the registry.
+struct registry {
+    std::uint64_t version{0};
+    std::map<std::string, backend_server, std::less<>> servers;
+};
+
+} // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/routing/backend_link.hpp"
+#include "cornellever/routing/model.hpp"
+#include "cornellever/session/connection_memory.hpp"
+
+namespace cornellever::routing {
+
+template <backend_link Link>
+struct pool_entry;
+
+/// A pooled connection and what is known of it.
+template <backend_link Link>
+struct pooled_slot {
+    std::unique_ptr<Link> connection;
+    pool_entry<Link>* home{nullptr};
+    session::connection_memory memory;
+    /// In use by a request, or by the pool's own housekeeping.
+    bool busy{false};
+    /// A transaction that the server accepted as its primary is open and
+    /// unused. A read in it is refused once the server has lost the lead, so
+    /// it needs no other proof of freshness.
+    bool armed{false};
+    /// When the statements were sent whose answers are still owed.
+    boot_clock::time_point sent_at{};
+    boot_clock::time_point idle_since{};
+};
+
+/// How long statements take at a server, as a moving average that goes back to
+/// the ordinary while the server is not used: a server that was slow once is
+/// tried again.
+class typical_time {
+public:
+    void record(boot_clock::time_point now, std::chrono::duration<double, std::milli> took) {
+        m_ms = value(now) + weight * (took.count() - value(now));
+        m_at = now;
+    }
+
+    [[nodiscard]] double value(boot_clock::time_point now) const {
+        const double idle_s = std::chrono::duration<double>(now - m_at).count();
+        return ordinary_ms + (m_ms - ordinary_ms) * std::exp2(-idle_s / half_life_s);
+    }
+
+private:
+    /// About the mean work of today's statements.
+    static constexpr double ordinary_ms = 10.0;
+    static constexpr double weight = 0.15;
+    static constexpr double half_life_s = 1.5;
+
+    double m_ms{ordinary_ms};
+    boot_clock::time_point m_at{};
+};
+
+/// One backend server, its connections, and what was seen of it.
+template <backend_link Link>
+struct pool_entry {
+    using time_point = boot_clock::time_point;
+
+    backend_server server;
+    std::vector<std::unique_ptr<pooled_slot<Link>>> slots;
+    /// Connections being opened.
+    std::size_t opening{0};
+    /// No connection is opened before that: the last try failed.
+    time_point open_after{};
+    int failed_opens{0};
+    typical_time typical;
+    std::size_t in_flight{0};
+    /// The log lacked this position at that time.
+    std::optional<sql::log_position> lacked;
+    time_point lacked_at{};
+    /// The last answer of any kind, and the last sign that nobody answers.
+    time_point heard_at{};
+    time_point refused_at{};
+    time_point silent_at{};
+    /// No longer registered; kept until its connections are handed back.
+    bool gone{false};
+    /// When it was first seen to be leaving.
+    std::optional<time_point> draining_since;
+
+    [[nodiscard]] std::size_t idle() const {
+        return static_cast<std::size_t>(std::ranges::count_if(slots, [](const auto& item) { return !item->busy; }));
+    }
+
+    /// Whether nobody answered since the last answer.
+    [[nodiscard]] bool unreachable() const noexcept { return std::max(refused_at, silent_at) > heard_at; }
+
+    /// A log that lacked a position is asked for it again only after a while:
+    /// an order to a replica that lags by seconds would be refused each time.
+    [[nodiscard]] bool behind(const std::optional<sql::log_position>& floor, time_point now) const {
+        constexpr auto ask_again_after = std::chrono::milliseconds{60};
+        return floor && lacked && *floor >= *lacked && now - lacked_at < ask_again_after;
+    }
+};
+
+} // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/routing/read_floor.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <optional>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/sql/position.hpp"
+
+namespace cornellever::routing {
+
+/// A position of the primary's log, known to hold every commit that was
+/// acknowledged before `asked_at`: the primary proved its lead after that.
+struct freshness_sample {
+    boot_clock::time_point asked_at;
+    sql::log_position position;
+};
+
+/// The samples of one service's primary, from which the oldest log position
+/// that a read of a given age may run on is told.
+class read_floor {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// Takes a sample. One that goes back behind an earlier sample is dropped.
+    void add(const freshness_sample& sample);
+
+    /// The position that a log needs for a read at `now` that may lack only
+    /// commits acknowledged within `max_staleness`, and the session's own last
+    /// commit. Nothing when no sample is recent enough to tell.
+    [[nodiscard]] std::optional<sql::log_position> floor(time_point now, std::chrono::milliseconds max_staleness,
+                                                         const std::optional<sql::log_position>& own_commit) const;
+
+    /// The newest sample.
+    [[nodiscard]] const freshness_sample* newest() const noexcept;
+
+private:
+    [[nodiscard]] sql::log_position in_present_term(const sql::log_position& at) const;
+
+    std::deque<freshness_sample> m_samples;
+};
+
+} // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/routing/service_pool.hpp
@@ -0,0 +1,239 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <expected>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/log.hpp"
+#include "cornellever/routing/connection_budget.hpp"
+#include "cornellever/routing/placement.hpp"
+#include "cornellever/routing/pool_entry.hpp"
+#include "cornellever/routing/read_floor.hpp"
+#include "cornellever/routing/waiting_line.hpp"
+#include "cornellever/sql/reply.hpp"
+
+namespace cornellever::routing {
+
+/// What a request needs of a connection.
+struct connection_want {
+    /// Only the primary will do.
+    bool primary{false};
+    /// The position that another server's log needs to have.
+    std::optional<sql::log_position> floor{};
+    const session::session_state* session{nullptr};
+    int priority{0};
+    boot_clock::time_point until{};
+    /// Servers that failed this request before.
+    std::vector<std::string> avoid{};
+};
+
+/// What a proxy has seen of a service's primary.
+struct primary_sight {
+    std::string id;
+    /// When it last proved its lead to this proxy.
+    boot_clock::time_point confirmed_at{};
+    boot_clock::time_point heard_at{};
+    /// Nobody has answered at its address since `heard_at`.
+    bool unreachable{false};
+    bool refused{false};
+    boot_clock::time_point unreachable_since{};
+};
+
+/// The connections of this proxy to the servers of one service: opens them
+/// within the budget, hands them to requests, keeps those to the primary armed
+/// (see `pooled_slot`) and collects freshness samples on the way.
+/// Used from the traffic thread only.
+template <link_connector Connector>
+class service_pool {
+public:
+    using link = typename Connector::link;
+    using slot = pooled_slot<link>;
+    using entry = pool_entry<link>;
+    using time_point = boot_clock::time_point;
+
+    /// A connection handed out; closed on destruction unless it was released.
+    class lease {
+    public:
+        lease(service_pool& pool, slot& held) : m_pool{&pool}, m_slot{&held} {}
+        lease(lease&& other) noexcept : m_pool{other.m_pool}, m_slot{std::exchange(other.m_slot, nullptr)} {}
+        lease& operator=(lease&& other) noexcept {
+            if (this != &other) {
+                drop();
+                m_pool = other.m_pool;
+                m_slot = std::exchange(other.m_slot, nullptr);
+            }
+            return *this;
+        }
+        ~lease() { drop(); }
+
+        slot* operator->() const noexcept { return m_slot; }
+        slot& operator*() const noexcept { return *m_slot; }
+        [[nodiscard]] const backend_server& server() const noexcept { return m_slot->home->server; }
+
+        /// Hands the connection back. Answers still owed are awaited first.
+        void release() { m_pool->take_back(*std::exchange(m_slot, nullptr)); }
+
+        /// Closes the connection, which rolls back what is open on it.
+        void drop() {
+            if (m_slot != nullptr) {
+                m_slot->connection->close();
+                release();
+            }
+        }
+
+    private:
+        service_pool* m_pool;
+        slot* m_slot;
+    };
+
+    service_pool(asio::any_io_executor executor, Connector& connector, std::string service, std::string data_center)
+        : m_executor{std::move(executor)}
+        , m_connector{connector}
+        , m_service{std::move(service)}
+        , m_data_center{std::move(data_center)} {}
+
+    service_pool(const service_pool&) = delete;
+    service_pool& operator=(const service_pool&) = delete;
+
+    /// Connections to each server that this proxy may hold.
+    void set_budget(std::size_t connections) { m_budget = connections; }
+
+    /// Takes the registered servers of the service.
+    void update(const std::vector<const backend_server*>& servers);
+
+    /// A connection for `want`, waiting for one until `want.until`.
+    asio::awaitable<std::optional<lease>> acquire(connection_want want);
+
+    /// Housekeeping, every `housekeeping_period`.
+    void tick();
+
+    /// An answer of a server. `took` is given for statements that ran there.
+    void heard(entry& from, std::optional<std::chrono::nanoseconds> took) {
+        from.heard_at = boot_clock::now();
+        if (took) {
+            from.typical.record(from.heard_at, *took);
+        }
+    }
+
+    /// A server said, or showed by silence, that it can't be used.
+    void note_failure(entry& from, link_failure why) {
+        if (why == link_failure::silent) {
+            from.silent_at = boot_clock::now();
+        }
+    }
+
+    void note_behind(entry& from, const sql::log_position& floor) {
+        from.lacked = floor;
+        from.lacked_at = boot_clock::now();
+    }
+
+    /// A server refused as not being the primary: another one is looked for.
+    void note_not_primary(const entry& from) {
+        if (m_primary == from.server.id) {
+            log_event(event::primary_lost, "service=" + m_service + " server=" + m_primary + " reason=refused_lead");
+            m_primary.clear();
+            seek();
+        }
+    }
+
+    /// A server proved its lead after `asked_at`.
+    void note_primary(entry& from, time_point asked_at, const std::optional<sql::log_position>& position) {
+        if (position) {
+            m_floor.add({asked_at, *position});
+        }
+        believe(from.server.id, asked_at);
+    }
+
+    /// A peer saw `id` prove its lead after `confirmed_at`.
+    void believe(const std::string& id, time_point confirmed_at);
+
+    /// A sample of a peer; its time is not later than the truth.
+    void add_sample(const freshness_sample& sample) { m_floor.add(sample); }
+
+    [[nodiscard]] const read_floor& floor() const noexcept { return m_floor; }
+    [[nodiscard]] const std::string& primary() const noexcept { return m_primary; }
+    [[nodiscard]] const std::string& service() const noexcept { return m_service; }
+    [[nodiscard]] std::size_t waiting() const noexcept { return m_line.size(); }
+    [[nodiscard]] std::size_t waiting_ahead(int priority) const { return m_line.ahead_of(priority); }
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<entry>, std::less<>>& entries() const noexcept {
+        return m_entries;
+    }
+
+    /// What this proxy sees of the primary, for its peers.
+    [[nodiscard]] primary_sight sight() const;
+
+    /// Connections that are being used or could be, and their time per
+    /// statement: what a waiting request has before it.
+    [[nodiscard]] std::size_t connections(bool primary_only) const;
+
+    /// Asks one server whether it leads, over an idle or a new connection.
+    asio::awaitable<void> probe(std::string id);
+
+    /// Each server's own report of its log, for choosing a new primary.
+    asio::awaitable<link_reply> ask(std::string id, sql::command what, std::chrono::milliseconds limit);
+
+private:
+    struct waiter {
+        connection_want want;
+        int priority;
+        time_point until;
+        asio::steady_timer timer;
+        slot* granted{nullptr};
+    };
+
+    [[nodiscard]] bool suits(const connection_want& want, const entry& at, time_point now) const;
+    [[nodiscard]] slot* grab(const connection_want& want);
+    [[nodiscard]] slot* best_idle(entry& at, const connection_want& want) const;
+    void grow(const connection_want& want);
+    void open_one(entry& at);
+    asio::awaitable<void> open(entry& at);
+    void take_back(slot& held);
+    asio::awaitable<void> settle(slot& held);
+    asio::awaitable<void> refresh(slot& held);
+    void make_idle(slot& held);
+    void destroy(slot& held);
+    void forget_if_empty(entry& at);
+    void seek();
+    asio::awaitable<void> seek_primary();
+    void arm_idle(entry& at);
+
+    /// Deadline of statements that take no slot at a server: several round
+    /// trips (3 ms) and a good part of what a slow VM needs.
+    static constexpr std::chrono::milliseconds control_limit{600};
+    static constexpr std::chrono::milliseconds open_limit{900};
+    static constexpr std::chrono::milliseconds first_backoff{60};
+    static constexpr std::chrono::milliseconds longest_backoff{600};
+    /// Without traffic at the primary for so long, its lead and position are
+    /// asked for: a read may be 1.5 s old, and a lost primary has to be noticed.
+    static constexpr std::chrono::milliseconds refresh_after{200};
+    static constexpr std::chrono::milliseconds seek_period{40};
+    /// The registry is told 7 s before a server leaves; new work stops well
+    /// before, and only the primary gets any at all.
+    static constexpr std::chrono::milliseconds leaving_primary_use{5500};
+
+    asio::any_io_executor m_executor;
+    Connector& m_connector;
+    std::string m_service;
+    std::string m_data_center;
+    std::size_t m_budget{1};
+    std::map<std::string, std::unique_ptr<entry>, std::less<>> m_entries;
+    std::vector<std::unique_ptr<entry>> m_leaving;
+    waiting_line<waiter> m_line;
+    read_floor m_floor;
+    std::string m_primary;
+    time_point m_primary_at{};
+    bool m_seeking{false};
+    bool m_used{false};
+};
+
+} // namespace cornellever::routing
+
+#include "cornellever/routing/service_pool.ipp"
--- /dev/null
+++ b/src/cornellever/routing/service_pool.ipp
@@ -0,0 +1,484 @@
+#pragma once
+
+namespace cornellever::routing {
+
+template <link_connector Connector>
+void service_pool<Connector>::update(const std::vector<const backend_server*>& servers) {
+    const auto now = boot_clock::now();
+    for (auto& [id, at] : m_entries) {
+        at->gone = std::ranges::none_of(servers, [&](const auto* item) { return item->id == id; });
+    }
+    for (const auto* item : servers) {
+        auto& at = m_entries[item->id];
+        const bool fresh = at == nullptr;
+        if (fresh) {
+            at = std::make_unique<entry>();
+        }
+        const bool claims_lead = item->role == server_role::primary && (fresh || at->server.role != item->role);
+        at->server = *item;
+        if (item->draining && !at->draining_since) {
+            at->draining_since = now;
+        } else if (!item->draining) {
+            at->draining_since.reset();
+        }
+        if (m_primary.empty() && item->role == server_role::primary) {
+            m_primary = item->id;
+            m_primary_at = time_point{};
+        } else if (claims_lead && m_primary != item->id && m_used) {
+            asio::co_spawn(m_executor, probe(item->id), asio::detached);
+        }
+    }
+    for (auto at = m_entries.begin(); at != m_entries.end();) {
+        if (!at->second->gone) {
+            ++at;
+            continue;
+        }
+        auto& leaving = *m_leaving.emplace_back(std::move(at->second));
+        at = m_entries.erase(at);
+        std::vector<slot*> idle;
+        for (auto& item : leaving.slots) {
+            if (!item->busy) {
+                idle.push_back(item.get());
+            }
+        }
+        for (auto* item : idle) {
+            destroy(*item);
+        }
+        forget_if_empty(leaving);
+    }
+    if (!m_primary.empty() && !m_entries.contains(m_primary)) {
+        m_primary.clear();
+        if (m_used) {
+            seek();
+        }
+    }
+}
+
+template <link_connector Connector>
+bool service_pool<Connector>::suits(const connection_want& want, const entry& at, time_point now) const {
+    const bool primary = at.server.id == m_primary;
+    if (at.gone || (want.primary && !primary)) {
+        return false;
+    }
+    if (at.draining_since && (!primary || now - *at.draining_since > leaving_primary_use)) {
+        return false;
+    }
+    if (std::ranges::find(want.avoid, at.server.id) != want.avoid.end()) {
+        return false;
+    }
+    return primary || !at.behind(want.floor, now);
+}
+
+template <link_connector Connector>
+typename service_pool<Connector>::slot* service_pool<Connector>::best_idle(entry& at,
+                                                                           const connection_want& want) const {
+    slot* best = nullptr;
+    std::size_t best_cost = 0;
+    for (auto& item : at.slots) {
+        if (item->busy) {
+            continue;
+        }
+        auto cost = want.session == nullptr ? 0 : 2 * session::replay_cost(*want.session, item->memory);
+        cost += want.primary && !item->armed ? 1 : 0;
+        if (best == nullptr || cost < best_cost) {
+            best = item.get();
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+template <link_connector Connector>
+typename service_pool<Connector>::slot* service_pool<Connector>::grab(const connection_want& want) {
+    const auto now = boot_clock::now();
+    std::vector<placement_candidate> candidates;
+    std::vector<entry*> at;
+    bool replica_could = false;
+    for (auto& [id, item] : m_entries) {
+        if (!suits(want, *item, now)) {
+            continue;
+        }
+        const bool primary = id == m_primary;
+        replica_could = replica_could || (!primary && !item->slots.empty());
+        auto* idle = best_idle(*item, want);
+        candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
+                              .primary = primary,
+                              .in_flight = item->in_flight,
+                              .idle = item->idle(),
+                              .typical = std::chrono::duration<double, std::milli>{item->typical.value(now)},
+                              .replay = idle != nullptr && want.session != nullptr
+                                            ? session::replay_cost(*want.session, idle->memory)
+                                            : 0});
+        at.push_back(item.get());
+    }
+    const auto chosen = place_read(candidates, !want.primary && replica_could && m_budget > 1);
+    if (!chosen) {
+        return nullptr;
+    }
+    auto* found = best_idle(*at[*chosen], want);
+    found->busy = true;
+    return found;
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::grow(const connection_want& want) {
+    const auto now = boot_clock::now();
+    entry* best = nullptr;
+    for (auto& [id, item] : m_entries) {
+        if (!suits(want, *item, now) || now < item->open_after || item->slots.size() + item->opening >= m_budget) {
+            continue;
+        }
+        const auto held = [](const entry& of) { return of.slots.size() + of.opening; };
+        if (best == nullptr || held(*item) < held(*best)) {
+            best = item.get();
+        }
+    }
+    if (best != nullptr) {
+        open_one(*best);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<std::optional<typename service_pool<Connector>::lease>>
+service_pool<Connector>::acquire(connection_want want) {
+    m_used = true;
+    if (auto* found = grab(want); found != nullptr) {
+        co_return lease{*this, *found};
+    }
+    grow(want);
+    if (want.primary && m_primary.empty()) {
+        seek();
+    }
+    waiter self{want, want.priority, want.until, asio::steady_timer{m_executor}};
+    m_line.join(self);
+    while (self.granted == nullptr && boot_clock::now() < want.until) {
+        self.timer.expires_after(want.until - boot_clock::now());
+        boost::system::error_code ignored;
+        co_await self.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (self.granted == nullptr) {
+        m_line.leave(self);
+        co_return std::nullopt;
+    }
+    co_return lease{*this, *self.granted};
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::open_one(entry& at) {
+    ++at.opening;
+    asio::co_spawn(m_executor, open(at), asio::detached);
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::open(entry& at) {
+    auto opened = co_await m_connector.open(at.server, boot_clock::now() + open_limit);
+    --at.opening;
+    const auto now = boot_clock::now();
+    if (!opened) {
+        const auto why = opened.error();
+        if (why == connect_failure::refused) {
+            at.refused_at = now;
+        } else if (why == connect_failure::silent) {
+            at.silent_at = now;
+        } else {
+            at.heard_at = now;
+        }
+        const auto backoff = std::min(first_backoff * (1 << std::min(at.failed_opens, 4)), longest_backoff);
+        ++at.failed_opens;
+        at.open_after = now + backoff;
+        log_event(event::connect_failed, "service=" + m_service + " server=" + at.server.id +
+                                             " reason=" + std::string{to_string(why)} +
+                                             " retry_ms=" + std::to_string(to_ms(backoff)));
+        forget_if_empty(at);
+        co_return;
+    }
+    at.failed_opens = 0;
+    at.heard_at = now;
+    auto& added = *at.slots.emplace_back(std::make_unique<slot>());
+    added.connection = std::move(*opened);
+    added.home = &at;
+    added.busy = true;
+    if (at.gone) {
+        destroy(added);
+        co_return;
+    }
+    if (at.server.id == m_primary) {
+        co_await refresh(added);
+        co_return;
+    }
+    make_idle(added);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::take_back(slot& held) {
+    if (!held.connection->usable()) {
+        auto& at = *held.home;
+        destroy(held);
+        if (!m_line.empty() && !at.gone && at.slots.size() + at.opening < m_budget &&
+            boot_clock::now() >= at.open_after) {
+            open_one(at);
+        }
+        forget_if_empty(at);
+        return;
+    }
+    asio::co_spawn(m_executor, settle(held), asio::detached);
+}
+
+/// Awaits the answers that a request left owed, and learns from the last:
+/// where it opened a transaction on a primary, the connection is armed.
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::settle(slot& held) {
+    auto last = co_await held.connection->settle(boot_clock::now() + control_limit);
+    auto& at = *held.home;
+    if (!last) {
+        note_failure(at, last.error());
+        log_event(event::connection_broken, "service=" + m_service + " server=" + at.server.id +
+                                                " while=settling reason=" + std::string{to_string(last.error())});
+        destroy(held);
+        forget_if_empty(at);
+        co_return;
+    }
+    heard(at, std::nullopt);
+    if (last->state == sql::transaction_state::open) {
+        held.armed = true;
+        note_primary(at, held.sent_at, last->position);
+    } else if (last->error && last->error->why == sql::refusal::not_primary) {
+        note_not_primary(at);
+    }
+    if (last->state == sql::transaction_state::failed) {
+        held.connection->close();
+    }
+    make_idle(held);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::make_idle(slot& held) {
+    auto& at = *held.home;
+    if (at.gone || !held.connection->usable() || at.slots.size() > m_budget) {
+        destroy(held);
+        forget_if_empty(at);
+        return;
+    }
+    const auto now = boot_clock::now();
+    auto* next = m_line.take_first([&](const waiter& item) { return suits(item.want, at, now); });
+    if (next != nullptr) {
+        next->granted = &held;
+        next->timer.cancel();
+        return;
+    }
+    held.busy = false;
+    held.idle_since = now;
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::destroy(slot& held) {
+    held.connection->close();
+    std::erase_if(held.home->slots, [&](const auto& item) { return item.get() == &held; });
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::forget_if_empty(entry& at) {
+    if (at.gone && at.slots.empty() && at.opening == 0) {
+        std::erase_if(m_leaving, [&](const auto& item) { return item.get() == &at; });
+    }
+}
+
+/// Proves the lead anew on a connection that the caller marked busy.
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::refresh(slot& held) {
+    std::vector<sql::command> batch;
+    if (held.armed) {
+        batch.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    batch.push_back(sql::own(sql::statement_kind::begin));
+    held.armed = false;
+    held.sent_at = boot_clock::now();
+    const auto wanted = batch.size() - 1;
+    auto& at = *held.home;
+    auto answer = co_await held.connection->exchange(std::move(batch), wanted, held.sent_at + control_limit);
+    if (!answer) {
+        note_failure(at, answer.error());
+        destroy(held);
+        forget_if_empty(at);
+        co_return;
+    }
+    heard(at, std::nullopt);
+    if (answer->ok()) {
+        held.armed = true;
+        note_primary(at, held.sent_at, answer->position);
+    } else if (answer->error->why == sql::refusal::not_primary) {
+        note_not_primary(at);
+    }
+    make_idle(held);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::believe(const std::string& id, time_point confirmed_at) {
+    if (confirmed_at <= m_primary_at || !m_entries.contains(id)) {
+        return;
+    }
+    m_primary_at = confirmed_at;
+    if (m_primary == id) {
+        return;
+    }
+    log_event(event::primary_found, "service=" + m_service + " server=" + id + " before=" + m_primary);
+    m_primary = id;
+    arm_idle(*m_entries.at(id));
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::arm_idle(entry& at) {
+    for (auto& item : at.slots) {
+        if (!item->busy) {
+            item->busy = true;
+            asio::co_spawn(m_executor, refresh(*item), asio::detached);
+        }
+    }
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::seek() {
+    if (!m_seeking) {
+        m_seeking = true;
+        asio::co_spawn(m_executor, seek_primary(), asio::detached);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::seek_primary() {
+    while (m_primary.empty()) {
+        std::vector<std::string> ids;
+        for (const auto& [id, at] : m_entries) {
+            ids.push_back(id);
+        }
+        std::ranges::stable_partition(
+            ids, [&](const auto& id) { return m_entries.at(id)->server.role == server_role::primary; });
+        for (const auto& id : ids) {
+            if (m_primary.empty()) {
+                co_await probe(id);
+            }
+        }
+        co_await sleep_for(seek_period);
+    }
+    m_seeking = false;
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::probe(std::string id) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        co_return;
+    }
+    auto& at = *found->second;
+    const auto idle = std::ranges::find_if(at.slots, [](const auto& item) { return !item->busy; });
+    if (idle != at.slots.end()) {
+        (*idle)->busy = true;
+        co_await refresh(**idle);
+        co_return;
+    }
+    if (at.slots.size() + at.opening < m_budget && boot_clock::now() >= at.open_after) {
+        open_one(at);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<link_reply> service_pool<Connector>::ask(std::string id, sql::command what,
+                                                         std::chrono::milliseconds limit) {
+    const auto until = boot_clock::now() + limit;
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        co_return std::unexpected{link_failure::not_sent};
+    }
+    auto& at = *found->second;
+    slot* held = nullptr;
+    for (auto& item : at.slots) {
+        if (!item->busy) {
+            held = item.get();
+            break;
+        }
+    }
+    if (held == nullptr) {
+        ++at.opening;
+        auto opened = co_await m_connector.open(at.server, until);
+        --at.opening;
+        if (!opened) {
+            if (opened.error() == connect_failure::refused) {
+                at.refused_at = boot_clock::now();
+            }
+            forget_if_empty(at);
+            co_return std::unexpected{link_failure::not_sent};
+        }
+        held = at.slots.emplace_back(std::make_unique<slot>()).get();
+        held->connection = std::move(*opened);
+        held->home = &at;
+    }
+    held->busy = true;
+    std::vector<sql::command> batch;
+    if (std::exchange(held->armed, false)) {
+        batch.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    batch.push_back(std::move(what));
+    const auto wanted = batch.size() - 1;
+    held->sent_at = boot_clock::now();
+    auto answer = co_await held->connection->exchange(std::move(batch), wanted, until);
+    if (!answer) {
+        note_failure(at, answer.error());
+    }
+    take_back(*held);
+    co_return answer;
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::tick() {
+    if (!m_used) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    for (auto& [id, at] : m_entries) {
+        if (at->slots.size() + at->opening == 0 && now >= at->open_after && !at->draining_since) {
+            open_one(*at);
+        }
+    }
+    if (m_primary.empty()) {
+        seek();
+        return;
+    }
+    auto& leader = *m_entries.at(m_primary);
+    const auto* newest = m_floor.newest();
+    const bool stale =
+        now - m_primary_at > refresh_after || newest == nullptr || now - newest->asked_at > refresh_after;
+    if (stale) {
+        const auto idle = std::ranges::find_if(leader.slots, [](const auto& item) { return !item->busy; });
+        if (idle != leader.slots.end()) {
+            (*idle)->busy = true;
+            asio::co_spawn(m_executor, refresh(**idle), asio::detached);
+        }
+    }
+}
+
+template <link_connector Connector>
+primary_sight service_pool<Connector>::sight() const {
+    primary_sight out;
+    out.id = m_primary;
+    out.confirmed_at = m_primary_at;
+    const auto found = m_entries.find(m_primary);
+    if (found != m_entries.end()) {
+        const auto& at = *found->second;
+        out.heard_at = at.heard_at;
+        out.unreachable = at.unreachable();
+        out.refused = at.refused_at > at.heard_at;
+        out.unreachable_since = at.heard_at;
+    }
+    return out;
+}
+
+template <link_connector Connector>
+std::size_t service_pool<Connector>::connections(bool primary_only) const {
+    std::size_t count = 0;
+    for (const auto& [id, at] : m_entries) {
+        count += !primary_only || id == m_primary ? at->slots.size() : 0;
+    }
+    return count;
+}
+
+} // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/session/caller.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/sql/reply.hpp"
+#include "cornellever/sql/statement.hpp"
+
+namespace cornellever::session {
+
+/// A caller opens its session.
+struct session_opening {
+    std::string database;
+};
+
+/// Input that is none of the protocol's.
+struct malformed_input {
+    std::string why;
+};
+
+/// The caller ended its session or its connection is gone.
+struct caller_left {};
+
+/// The caller sent nothing until the time given.
+struct caller_silent {};
+
+using caller_event = std::variant<session_opening, sql::request, malformed_input, caller_left, caller_silent>;
+
+/// The connection of one caller.
+template <typename T>
+concept caller_channel = requires(T caller, boot_clock::time_point until, const sql::reply& answer,
+                                  const sql::statement_error& error) {
+    { caller.next(until) } -> std::same_as<asio::awaitable<caller_event>>;
+    {caller.welcome()};
+    {caller.send(answer)};
+    {caller.refuse(error)};
+    {caller.close()};
+};
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace cornellever::session {
+
+struct prepared_statement;
+struct session_state;
+struct connection_memory;
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/serve_settings.cpp
@@ -0,0 +1,108 @@
+#include "cornellever/session/serve_settings.hpp"
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "cornellever/config/words.hpp"
+#include "cornellever/ini/reader.hpp"
+
+namespace cornellever::session {
+
+namespace {
+
+/// Takes a value; returns what is wrong with it.
+using reader = std::function<std::optional<std::string>(const std::string&, serve_settings&)>;
+
+reader text(std::string serve_settings::*member) {
+    return [member](const std::string& value, serve_settings& out) -> std::optional<std::string> {
+        if (value.empty()) {
+            return "must not be empty";
+        }
+        out.*member = value;
+        return std::nullopt;
+    };
+}
+
+reader address(tcp::endpoint serve_settings::*member) {
+    return [member](const std::string& value, serve_settings& out) -> std::optional<std::string> {
+        if (!parse_endpoint(value, out.*member)) {
+            return "must be IP:PORT, not '" + value + "'";
+        }
+        return std::nullopt;
+    };
+}
+
+std::optional<std::string> read_grace(const std::string& value, serve_settings& out) {
+    constexpr int longest_s = 3600;
+    int seconds = 0;
+    const auto* const end = value.data() + value.size();
+    const auto got = std::from_chars(value.data(), end, seconds);
+    if (got.ec != std::errc{} || got.ptr != end || seconds < 1 || seconds > longest_s) {
+        return "must be whole seconds from 1 to 3600, not '" + value + "'";
+    }
+    out.grace = std::chrono::seconds{seconds};
+    return std::nullopt;
+}
+
+std::optional<std::string> read_seeds(const std::string& value, serve_settings& out) {
+    out.seeds.clear();
+    for (const auto& item : config::split_list(value)) {
+        if (!parse_endpoint(item, out.seeds.emplace_back())) {
+            return "must be IP:PORT separated by commas, not '" + item + "'";
+        }
+    }
+    return std::nullopt;
+}
+
+const std::map<std::string, reader, std::less<>>& readers() {
+    static const std::map<std::string, reader, std::less<>> all{
+        {"name", text(&serve_settings::name)},
+        {"data_center", text(&serve_settings::data_center)},
+        {"callers", address(&serve_settings::callers)},
+        {"readiness", address(&serve_settings::readiness)},
+        {"peers", address(&serve_settings::peers)},
+        {"heartbeats", address(&serve_settings::heartbeats)},
+        {"seeds", read_seeds},
+        {"store", address(&serve_settings::store)},
+        {"orders", address(&serve_settings::orders)},
+        {"grace_s", read_grace},
+        {"log_level", text(&serve_settings::log_level)},
+        {"metrics", address(&serve_settings::metrics)},
+    };
+    return all;
+}
+
+const std::set<std::string, std::less<>> optional_keys{"seeds", "grace_s", "log_level", "metrics"};
+
+} // namespace
+
+std::vector<ini::finding> read_serve_settings(std::string_view text, std::string_view file, serve_settings& out) {
+    ini::document document;
+    ini::read_text(text, file, document);
+    auto findings = document.findings;
+    std::map<std::string, ini::origin, std::less<>> seen;
+    for (const auto& item : document.entries) {
+        const auto found = readers().find(item.key);
+        if (item.section != "serve" || found == readers().end()) {
+            findings.push_back({item.where, "unknown setting [" + item.section + "] " + item.key});
+            continue;
+        }
+        if (!seen.emplace(item.key, item.where).second) {
+            findings.push_back({item.where, item.key + " is set twice"});
+        }
+        if (auto wrong = found->second(item.value, out)) {
+            findings.push_back({item.where, item.key + " " + *wrong});
+        }
+    }
+    for (const auto& [key, unused] : readers()) {
+        if (!seen.contains(key) && !optional_keys.contains(key)) {
+            findings.push_back({{std::string{file}, 0}, key + " is missing"});
+        }
+    }
+    return findings;
+}
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/serve_settings.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/ini/document.hpp"
+
+namespace cornellever::session {
+
+/// Settings of the `serve` role, section `[serve]` of an INI file.
+struct serve_settings {
+    /// Unique among the proxies, kept over restarts on the same VM.
+    std::string name;
+    std::string data_center;
+    /// Where callers connect.
+    tcp::endpoint callers;
+    /// Where the load balancer asks whether new connections are wanted.
+    tcp::endpoint readiness;
+    /// Where other proxies ask for the configuration, and where they send
+    /// their heartbeats.
+    tcp::endpoint peers;
+    tcp::endpoint heartbeats;
+    /// Heartbeat addresses of proxies that may be up already.
+    std::vector<tcp::endpoint> seeds;
+    /// The metadata store, and where promotions are ordered.
+    tcp::endpoint store;
+    tcp::endpoint orders;
+    /// From SIGTERM until the process is killed.
+    std::chrono::seconds grace{6};
+    /// debug, info, warning or error.
+    std::string log_level{"info"};
+    /// Where counters and latencies are served as text; port 0: nowhere.
+    tcp::endpoint metrics;
+};
+
+/// Reads settings from INI text named `file`. Every problem is a finding with
+/// its line; `out` is complete only when there are none.
+[[nodiscard]] std::vector<ini::finding> read_serve_settings(std::string_view text, std::string_view file,
+                                                            serve_settings& out);
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/statement_engine.ipp
@@ -0,0 +1,443 @@
+#pragma once
+
+namespace cornellever::session {
+
+template <routing::link_connector Connector>
+void statement_engine<Connector>::log_decision(event id, const statement_run& run, std::string_view server,
+                                               std::string_view reason) const {
+    log_event(id, "request=" + run.request.id + " database=" + run.route.database + " service=" + run.route.service +
+                      " server=" + std::string{server} + " reason=" + std::string{reason} +
+                      " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)));
+}
+
+template <routing::link_connector Connector>
+sql::command statement_engine<Connector>::command_of(const statement_run& run) {
+    sql::command out{.request_id = run.request.id, .what = run.request.what};
+    if (run.prepared != nullptr) {
+        out.what.name = prepared_name(*run.prepared);
+    }
+    return out;
+}
+
+template <routing::link_connector Connector>
+routing::connection_want statement_engine<Connector>::want_of(const pool& backends, const statement_run& run,
+                                                              bool needs_primary) const {
+    routing::connection_want out;
+    out.session = &run.session;
+    out.priority = run.route.priority;
+    out.primary = needs_primary || run.route.reads == routing::consistency::primary;
+    if (!out.primary) {
+        out.floor = backends.floor().floor(run.arrival, run.route.max_staleness, run.session.last_commit);
+        // Without a sample that is recent enough nobody can say which replica
+        // is fresh; the primary can still prove that it is.
+        out.primary = !out.floor.has_value();
+    }
+    return out;
+}
+
+template <routing::link_connector Connector>
+std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run, bool primary,
+                                                             time_point& wait_until) {
+    const auto now = boot_clock::now();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - now);
+    const routing::load_view load{.ahead = backends.waiting_ahead(run.route.priority),
+                                  .connections = backends.connections(primary)};
+    const auto decision = routing::admit(load, std::max(left, std::chrono::milliseconds{0}));
+    if (!decision.admitted || left.count() <= 0) {
+        return refused_for_now("no connection free in time", decision.retry_after);
+    }
+    wait_until = now + decision.wait;
+    return std::nullopt;
+}
+
+/// A connection, or the refusal to answer with.
+template <routing::link_connector Connector>
+asio::awaitable<std::optional<typename statement_engine<Connector>::lease>>
+statement_engine<Connector>::connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
+                                            sql::reply& refusal) {
+    const auto asked = boot_clock::now();
+    if (auto refused = admit(backends, run, want.primary, want.until)) {
+        refusal = std::move(*refused);
+        co_return std::nullopt;
+    }
+    auto held = co_await backends.acquire(want);
+    m_counters.waited_for_connection.record(boot_clock::now() - asked);
+    if (!held) {
+        refusal = refused_for_now(want.primary && backends.primary().empty() ? "no primary" : "no connection in time",
+                                  std::chrono::milliseconds{100});
+    }
+    co_return held;
+}
+
+/// Opens a transaction that proves the server's lead; waits for the proof,
+/// since a read sent right behind a refused BEGIN would run without it.
+template <routing::link_connector Connector>
+asio::awaitable<bool> statement_engine<Connector>::arm(pool& backends, lease& held, time_point until) {
+    if (held->armed) {
+        co_return true;
+    }
+    held->sent_at = boot_clock::now();
+    std::vector<sql::command> batch;
+    batch.push_back(sql::own(sql::statement_kind::begin));
+    auto answer = co_await held->connection->exchange(std::move(batch), 0, until);
+    auto& at = *held->home;
+    if (!answer) {
+        backends.note_failure(at, answer.error());
+        co_return false;
+    }
+    backends.heard(at, std::nullopt);
+    if (answer->ok()) {
+        held->armed = true;
+        backends.note_primary(at, held->sent_at, answer->position);
+        co_return true;
+    }
+    if (answer->error->why == sql::refusal::not_primary) {
+        backends.note_not_primary(at);
+    }
+    co_return false;
+}
+
+template <routing::link_connector Connector>
+std::vector<sql::command> statement_engine<Connector>::batch_for(lease& held, const statement_run& run,
+                                                                 const std::optional<sql::log_position>& floor,
+                                                                 std::size_t& wanted) const {
+    std::vector<sql::command> out;
+    const bool armed = std::exchange(held->armed, false);
+    if (armed && run.writes()) {
+        out.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    for (auto& item : plan_replay(run.session, held->memory, run.prepared)) {
+        out.push_back({.what = std::move(item)});
+    }
+    wanted = out.size();
+    out.push_back(command_of(run));
+    if (run.writes()) {
+        out.push_back(sql::own(sql::statement_kind::begin));
+    } else if (armed) {
+        out.push_back(sql::own(sql::statement_kind::rollback));
+        out.push_back(sql::own(sql::statement_kind::begin));
+    } else {
+        out.back().after = floor;
+    }
+    return out;
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<routing::link_reply> statement_engine<Connector>::exchange(pool& backends, lease& held,
+                                                                           std::vector<sql::command> batch,
+                                                                           std::size_t wanted, time_point until) {
+    auto& at = *held->home;
+    held->sent_at = boot_clock::now();
+    const scoped_count running{at.in_flight};
+    auto got = co_await held->connection->exchange(std::move(batch), wanted, until);
+    if (!got) {
+        backends.note_failure(at, got.error());
+        log_event(event::connection_broken,
+                  "server=" + at.server.id + " while=statement reason=" + std::string{routing::to_string(got.error())});
+        co_return got;
+    }
+    backends.heard(at, boot_clock::now() - held->sent_at);
+    co_return got;
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> statement_engine<Connector>::run_alone(pool& backends, const statement_run& run) {
+    auto want = want_of(backends, run, run.writes());
+    sql::reply out;
+    for (;;) {
+        auto held = co_await connection_for(backends, run, want, out);
+        if (!held) {
+            log_decision(event::request_refused, run, backends.primary(), out.error->text);
+            break;
+        }
+        if (want.primary && !run.writes()) {
+            const bool armed = co_await arm(backends, *held, run.until());
+            if (!armed) {
+                held->release();
+                continue;
+            }
+        }
+        std::size_t wanted = 0;
+        auto batch = batch_for(*held, run, want.floor, wanted);
+        const auto until = run.writes() ? run.until() : std::min(run.until(), boot_clock::now() + read_try_limit);
+        auto got = co_await exchange(backends, *held, std::move(batch), wanted, until);
+        const auto what = run.writes() ? judge_write(backends, *held, run, got, out)
+                                       : judge_read(backends, *held, run, want, got, out);
+        held->release();
+        if (what == verdict::answered) {
+            break;
+        }
+        ++m_counters.statements_retried;
+    }
+    out.state = sql::transaction_state::idle;
+    co_return out;
+}
+
+template <routing::link_connector Connector>
+typename statement_engine<Connector>::verdict
+statement_engine<Connector>::judge_read(pool& backends, lease& held, const statement_run& run,
+                                        routing::connection_want& want, const routing::link_reply& got,
+                                        sql::reply& out) {
+    auto& at = *held->home;
+    const auto& id = at.server.id;
+    if (!got) {
+        log_decision(event::statement_retried, run, id, routing::to_string(got.error()));
+        if (got.error() != routing::link_failure::not_sent && !want.primary) {
+            want.avoid.push_back(id);
+        }
+    } else if (got->ok()) {
+        ++(id == backends.primary() ? m_counters.reads_on_primary : m_counters.reads_on_replicas);
+        out = *got;
+        return verdict::answered;
+    } else {
+        const auto why = got->error->why;
+        log_decision(event::statement_retried, run, id, sql::to_string(why));
+        switch (why) {
+        case sql::refusal::behind:
+            if (want.floor) {
+                backends.note_behind(at, *want.floor);
+            }
+            want.avoid.push_back(id);
+            break;
+        case sql::refusal::not_primary:
+            backends.note_not_primary(at);
+            break;
+        case sql::refusal::overloaded:
+            if (want.primary) {
+                out = refused_for_now("server busy", std::chrono::milliseconds{50});
+                return verdict::answered;
+            }
+            want.avoid.push_back(id);
+            break;
+        case sql::refusal::no_such_prepared_statement:
+            held->connection->close();
+            break;
+        case sql::refusal::failed:
+        case sql::refusal::timed_out:
+            if (std::ranges::find(want.avoid, id) != want.avoid.end() || want.primary) {
+                out = *got;
+                return verdict::answered;
+            }
+            want.avoid.push_back(id);
+            break;
+        default:
+            out = *got;
+            return verdict::answered;
+        }
+    }
+    // The primary holds every commit and proves it: what no replica can serve goes there.
+    if (!want.primary && want.avoid.size() + 1 >= backends.entries().size()) {
+        want.primary = true;
+        want.avoid.clear();
+    }
+    if (boot_clock::now() >= run.until()) {
+        out = refused(sql::refusal::timed_out, "no answer in time", sql::transaction_state::idle);
+        return verdict::answered;
+    }
+    return verdict::again;
+}
+
+template <routing::link_connector Connector>
+typename statement_engine<Connector>::verdict
+statement_engine<Connector>::judge_write(pool& backends, lease& held, const statement_run& run,
+                                         const routing::link_reply& got, sql::reply& out) {
+    auto& at = *held->home;
+    const auto& id = at.server.id;
+    if (!got) {
+        if (got.error() == routing::link_failure::not_sent) {
+            log_decision(event::statement_retried, run, id, "not_sent");
+            return verdict::again;
+        }
+        // It may have run: running it again could make it take effect twice.
+        log_decision(event::outcome_unknown, run, id, routing::to_string(got.error()));
+        out = refused(sql::refusal::outcome_unknown, "no answer from " + id, sql::transaction_state::idle);
+        return verdict::answered;
+    }
+    if (got->ok()) {
+        if (got->position) {
+            run.session.last_commit = got->position;
+            backends.note_primary(at, held->sent_at, got->position);
+        }
+        out = *got;
+        return verdict::answered;
+    }
+    const auto why = got->error->why;
+    if (why == sql::refusal::not_primary) {
+        backends.note_not_primary(at);
+    }
+    if (why == sql::refusal::no_such_prepared_statement) {
+        held->connection->close();
+    }
+    if (!sql::server_did_not_run(why)) {
+        log_decision(event::outcome_unknown, run, id, sql::to_string(why));
+        out = refused(why == sql::refusal::malformed ? sql::refusal::outcome_unknown : why, got->error->text,
+                      sql::transaction_state::idle);
+        return verdict::answered;
+    }
+    log_decision(event::statement_retried, run, id, sql::to_string(why));
+    if (why == sql::refusal::overloaded || boot_clock::now() >= run.until()) {
+        out = refused_for_now("server busy", std::chrono::milliseconds{50});
+        return verdict::answered;
+    }
+    return verdict::again;
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<bool> statement_engine<Connector>::open_read_only(pool& backends, lease& held,
+                                                                  const sql::log_position& floor, time_point until) {
+    std::vector<sql::command> batch;
+    batch.push_back(sql::own(sql::statement_kind::begin_read_only));
+    batch.back().after = floor;
+    held->sent_at = boot_clock::now();
+    auto answer = co_await held->connection->exchange(std::move(batch), 0, until);
+    auto& at = *held->home;
+    if (!answer) {
+        backends.note_failure(at, answer.error());
+        co_return false;
+    }
+    backends.heard(at, std::nullopt);
+    if (!answer->ok() && answer->error->why == sql::refusal::behind) {
+        backends.note_behind(at, floor);
+    }
+    co_return answer->ok();
+}
+
+/// Takes a connection for a transaction and opens it there.
+template <routing::link_connector Connector>
+asio::awaitable<bool> statement_engine<Connector>::pin(transaction& inside, const statement_run& run,
+                                                       sql::reply& refusal) {
+    auto& backends = *inside.backends;
+    auto want = want_of(backends, run, !inside.read_only);
+    for (;;) {
+        auto held = co_await connection_for(backends, run, want, refusal);
+        if (!held) {
+            log_decision(event::request_refused, run, backends.primary(), refusal.error->text);
+            co_return false;
+        }
+        bool opened = false;
+        if (want.primary || (*held)->armed) {
+            opened = co_await arm(backends, *held, run.until());
+        } else {
+            opened = co_await open_read_only(backends, *held, *want.floor, run.until());
+        }
+        if (opened) {
+            inside.pinned.emplace(std::move(*held));
+            co_return true;
+        }
+        if (!want.primary) {
+            want.avoid.push_back(held->server().id);
+            want.primary = want.avoid.size() + 1 >= backends.entries().size();
+            if (want.primary) {
+                want.avoid.clear();
+            }
+        }
+        held->release();
+        ++m_counters.statements_retried;
+    }
+}
+
+template <routing::link_connector Connector>
+sql::reply statement_engine<Connector>::fail_inside(transaction& inside, const statement_run& run,
+                                                    std::string_view reason) {
+    log_decision(event::transaction_failed, run, inside.pinned ? inside.pinned->server().id : "-", reason);
+    undo(inside);
+    inside.failed = true;
+    return refused(sql::refusal::aborted, std::string{reason} + "; nothing of the transaction is kept",
+                   sql::transaction_state::failed);
+}
+
+template <routing::link_connector Connector>
+sql::reply statement_engine<Connector>::finish_commit(transaction& inside, const statement_run& run,
+                                                      const routing::link_reply& got) {
+    auto& held = *inside.pinned;
+    auto& at = *held->home;
+    sql::reply out;
+    if (got && got->ok()) {
+        out = *got;
+        if (inside.wrote && got->position) {
+            run.session.last_commit = got->position;
+            inside.backends->note_primary(at, held->sent_at, got->position);
+        }
+    } else if (!inside.wrote || (got && sql::server_did_not_run(got->error->why)) ||
+               (!got && got.error() == routing::link_failure::not_sent)) {
+        out = refused(sql::refusal::aborted, "the commit did not run", sql::transaction_state::idle);
+        log_decision(event::transaction_failed, run, at.server.id, "commit_not_run");
+        held->connection->close();
+    } else {
+        out = refused(sql::refusal::outcome_unknown, "no answer to the commit", sql::transaction_state::idle);
+        log_decision(event::outcome_unknown, run, at.server.id, "commit_unanswered");
+        held->connection->close();
+    }
+    out.state = sql::transaction_state::idle;
+    held.release();
+    inside.pinned.reset();
+    return out;
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> statement_engine<Connector>::run_inside(transaction& inside, const statement_run& run) {
+    const bool commit = run.request.what.kind == sql::statement_kind::commit;
+    const bool first = !inside.pinned;
+    if (first) {
+        sql::reply refusal;
+        const bool pinned = co_await pin(inside, run, refusal);
+        if (!pinned) {
+            inside.failed = !commit;
+            refusal.state = commit ? sql::transaction_state::idle : sql::transaction_state::failed;
+            co_return refusal;
+        }
+    }
+    auto& held = *inside.pinned;
+    const bool on_primary = held->armed;
+    std::vector<sql::command> batch;
+    for (auto& item : plan_replay(run.session, held->memory, run.prepared)) {
+        batch.push_back({.what = std::move(item)});
+    }
+    const auto wanted = batch.size();
+    batch.push_back(command_of(run));
+    inside.wrote = inside.wrote || run.writes();
+    if (commit) {
+        held->armed = false;
+        if (on_primary) {
+            batch.push_back(sql::own(sql::statement_kind::begin));
+        }
+    }
+    auto got = co_await exchange(*inside.backends, held, std::move(batch), wanted, run.until());
+    if (commit) {
+        co_return finish_commit(inside, run, got);
+    }
+    if (!got) {
+        co_return fail_inside(inside, run, routing::to_string(got.error()));
+    }
+    if (got->error) {
+        if (got->error->why == sql::refusal::not_primary) {
+            inside.backends->note_not_primary(*held->home);
+        }
+        co_return fail_inside(inside, run, sql::to_string(got->error->why));
+    }
+    auto out = *got;
+    out.state = sql::transaction_state::open;
+    co_return out;
+}
+
+template <routing::link_connector Connector>
+void statement_engine<Connector>::undo(transaction& inside) {
+    if (!inside.pinned) {
+        return;
+    }
+    ++m_counters.transactions_undone;
+    auto& held = *inside.pinned;
+    std::vector<sql::command> batch;
+    batch.push_back(sql::own(sql::statement_kind::rollback));
+    if (std::exchange(held->armed, false)) {
+        batch.push_back(sql::own(sql::statement_kind::begin));
+    }
+    held->sent_at = boot_clock::now();
+    if (!held->connection->post(batch)) {
+        held->connection->close();
+    }
+    held.release();
+    inside.pinned.reset();
+}
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/traffic.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/log.hpp"
+#include "cornellever/routing/model.hpp"
+#include "cornellever/routing/service_pool.hpp"
+#include "cornellever/session/caller.hpp"
+#include "cornellever/session/statement_engine.hpp"
+
+namespace cornellever::session {
+
+/// Where an open session stands, for a planned stop.
+struct session_status {
+    /// The caller waits for nothing and has no transaction open: closing the
+    /// connection now cuts nothing.
+    bool resting{false};
+    bool in_transaction{false};
+    std::function<void()> close;
+};
+
+/// The traffic side of a proxy that serves statement sessions: the
+/// configuration in force, the pools, and the open sessions.
+/// Used from the traffic thread only.
+template <routing::link_connector Connector>
+class traffic {
+public:
+    using pool = routing::service_pool<Connector>;
+    using engine = statement_engine<Connector>;
+
+    traffic(asio::any_io_executor executor, Connector& connector, std::string data_center)
+        : m_executor{std::move(executor)}
+        , m_connector{connector}
+        , m_data_center{std::move(data_center)}
+        , m_engine{m_counters} {}
+
+    /// Takes a newer configuration; an older or equal one is ignored.
+    void update(routing::configuration config);
+
+    /// Takes the registered backend servers.
+    void update(routing::registry servers);
+
+    /// How many proxies share each server's connections.
+    void set_proxies(std::size_t proxies);
+
+    /// Housekeeping of the pools.
+    void tick() {
+        for (auto& [name, backends] : m_pools) {
+            backends->tick();
+        }
+    }
+
+    /// Serves one caller until its session ends.
+    template <caller_channel Caller>
+    asio::awaitable<void> serve(Caller caller);
+
+    /// Whether callers can be served: a configuration is known.
+    [[nodiscard]] bool has_configuration() const noexcept { return m_config.version != 0; }
+
+    /// Ends the sessions that rest; later ones end as they come to rest.
+    void close_resting();
+
+    /// From now on open transactions are ended too.
+    void end_transactions() { m_ending_transactions = true; }
+
+    [[nodiscard]] std::size_t sessions() const noexcept { return m_sessions.size(); }
+    [[nodiscard]] const routing::configuration& config() const noexcept { return m_config; }
+    [[nodiscard]] const routing::registry& servers() const noexcept { return m_registry; }
+    [[nodiscard]] const traffic_counters& counters() const noexcept { return m_counters; }
+    [[nodiscard]] std::map<std::string, std::unique_ptr<pool>, std::less<>>& pools() noexcept { return m_pools; }
+
+private:
+    using transaction = typename engine::transaction;
+
+    /// One session being served.
+    struct conversation {
+        session_state state;
+        std::optional<transaction> open{};
+        session_status status{};
+    };
+
+    [[nodiscard]] pool& pool_of(const routing::database_route& route);
+    void share_servers();
+    asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
+    asio::awaitable<sql::reply> run(conversation& with, const sql::request& asked);
+    sql::reply begin(conversation& with, bool read_only);
+    sql::reply roll_back(conversation& with);
+    sql::reply prepare(conversation& with, const sql::statement& what);
+    sql::reply deallocate(conversation& with, const sql::statement& what);
+    [[nodiscard]] static sql::transaction_state state_of(const conversation& with);
+    [[nodiscard]] boot_clock::time_point silence_limit(const conversation& with) const;
+
+    /// A session without a transaction may rest as long as it likes.
+    static constexpr std::chrono::hours resting_limit{24};
+
+    asio::any_io_executor m_executor;
+    Connector& m_connector;
+    std::string m_data_center;
+    routing::configuration m_config;
+    routing::registry m_registry;
+    std::size_t m_proxies{1};
+    traffic_counters m_counters;
+    engine m_engine;
+    std::map<std::string, std::unique_ptr<pool>, std::less<>> m_pools;
+    std::set<conversation*> m_sessions;
+    std::uint64_t m_last_session{0};
+    bool m_closing{false};
+    bool m_ending_transactions{false};
+};
+
+} // namespace cornellever::session
+
+#include "cornellever/session/traffic.ipp"
--- /dev/null
+++ b/src/cornellever/session/traffic.ipp
@@ -0,0 +1,276 @@
+#pragma once
+
+namespace cornellever::session {
+
+template <routing::link_connector Connector>
+void traffic<Connector>::update(routing::configuration config) {
+    if (config.version <= m_config.version) {
+        return;
+    }
+    log_event(event::config_loaded, "version=" + std::to_string(config.version) +
+                                        " before=" + std::to_string(m_config.version) +
+                                        " databases=" + std::to_string(config.routes.size()));
+    m_config = std::move(config);
+    set_proxies(m_proxies);
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::update(routing::registry servers) {
+    if (servers.version < m_registry.version) {
+        return;
+    }
+    m_registry = std::move(servers);
+    share_servers();
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::share_servers() {
+    for (auto& [name, backends] : m_pools) {
+        std::vector<const routing::backend_server*> own;
+        for (const auto& [id, server] : m_registry.servers) {
+            if (server.service == name) {
+                own.push_back(&server);
+            }
+        }
+        backends->update(own);
+    }
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::set_proxies(std::size_t proxies) {
+    m_proxies = proxies;
+    for (auto& [name, backends] : m_pools) {
+        const auto limits = m_config.services.find(name);
+        if (limits != m_config.services.end()) {
+            backends->set_budget(routing::connections_per_proxy(limits->second.max_connections, proxies));
+        }
+    }
+}
+
+template <routing::link_connector Connector>
+typename traffic<Connector>::pool& traffic<Connector>::pool_of(const routing::database_route& route) {
+    auto& found = m_pools[route.service];
+    if (found == nullptr) {
+        found = std::make_unique<pool>(m_executor, m_connector, route.service, m_data_center);
+        set_proxies(m_proxies);
+        share_servers();
+    }
+    return *found;
+}
+
+template <routing::link_connector Connector>
+sql::transaction_state traffic<Connector>::state_of(const conversation& with) {
+    if (!with.open) {
+        return sql::transaction_state::idle;
+    }
+    return with.open->failed ? sql::transaction_state::failed : sql::transaction_state::open;
+}
+
+template <routing::link_connector Connector>
+boot_clock::time_point traffic<Connector>::silence_limit(const conversation& with) const {
+    const auto now = boot_clock::now();
+    if (!with.open || m_config.transaction_idle.count() == 0) {
+        return now + resting_limit;
+    }
+    return now + m_config.transaction_idle;
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::close_resting() {
+    m_closing = true;
+    std::vector<conversation*> resting;
+    for (auto* item : m_sessions) {
+        if (item->status.resting) {
+            resting.push_back(item);
+        }
+    }
+    for (auto* item : resting) {
+        item->status.close();
+    }
+}
+
+template <routing::link_connector Connector>
+template <caller_channel Caller>
+asio::awaitable<void> traffic<Connector>::serve(Caller caller) {
+    constexpr auto opening_limit = std::chrono::seconds{10};
+    const auto opened = co_await caller.next(boot_clock::now() + opening_limit);
+    const auto* opening = std::get_if<session_opening>(&opened);
+    if (opening == nullptr) {
+        caller.close();
+        co_return;
+    }
+    if (!m_config.routes.contains(opening->database)) {
+        const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
+        log_event(event::session_refused, "database=" + opening->database +
+                                              " reason=" + std::string{sql::to_string(why)} +
+                                              " config=" + std::to_string(m_config.version));
+        caller.refuse({why, opening->database});
+        caller.close();
+        co_return;
+    }
+    conversation with;
+    with.state.id = ++m_last_session;
+    with.state.database = opening->database;
+    with.status.close = [&caller] { caller.close(); };
+    m_sessions.insert(&with);
+    ++m_counters.sessions_opened;
+    caller.welcome();
+    for (;;) {
+        with.status.resting = !with.open;
+        if (m_closing && with.status.resting) {
+            break;
+        }
+        auto happened = co_await caller.next(silence_limit(with));
+        with.status.resting = false;
+        if (const auto* asked = std::get_if<sql::request>(&happened)) {
+            const auto arrival = boot_clock::now();
+            auto out = co_await answer(with, *asked);
+            if (out.error) {
+                m_counters.count_refusal(out.error->why);
+            } else {
+                ++m_counters.statements_served;
+                m_counters.served_in.record(boot_clock::now() - arrival);
+            }
+            caller.send(out);
+            continue;
+        }
+        if (const auto* garbled = std::get_if<malformed_input>(&happened)) {
+            caller.send(refused(sql::refusal::malformed, garbled->why, state_of(with)));
+            continue;
+        }
+        if (std::holds_alternative<caller_silent>(happened) && with.open) {
+            // The connection that the transaction holds is wanted by others.
+            log_event(event::transaction_abandoned, "database=" + with.state.database + " reason=idle");
+            m_engine.undo(*with.open);
+            with.open->failed = true;
+            continue;
+        }
+        break;
+    }
+    if (with.open) {
+        m_engine.undo(*with.open);
+    }
+    m_sessions.erase(&with);
+    caller.close();
+}
+
+template <routing::link_connector Connector>
+sql::reply traffic<Connector>::begin(conversation& with, bool read_only) {
+    if (with.open) {
+        return refused(sql::refusal::malformed, "a transaction is open", state_of(with));
+    }
+    const auto route = m_config.routes.find(with.state.database);
+    if (route == m_config.routes.end()) {
+        return refused(sql::refusal::no_such_database, with.state.database, sql::transaction_state::idle);
+    }
+    with.open.emplace(transaction{.route = route->second, .backends = &pool_of(route->second), .read_only = read_only});
+    ++m_counters.transactions_opened;
+    return acknowledged(sql::transaction_state::open);
+}
+
+template <routing::link_connector Connector>
+sql::reply traffic<Connector>::roll_back(conversation& with) {
+    if (with.open) {
+        m_engine.undo(*with.open);
+        with.open.reset();
+    }
+    return acknowledged(sql::transaction_state::idle);
+}
+
+template <routing::link_connector Connector>
+sql::reply traffic<Connector>::prepare(conversation& with, const sql::statement& what) {
+    with.state.prepared.insert_or_assign(what.name, prepared_statement{what.touches, what.text});
+    return acknowledged(state_of(with));
+}
+
+template <routing::link_connector Connector>
+sql::reply traffic<Connector>::deallocate(conversation& with, const sql::statement& what) {
+    if (with.state.prepared.erase(what.name) == 0) {
+        return refused(sql::refusal::no_such_prepared_statement, what.name, state_of(with));
+    }
+    return acknowledged(state_of(with));
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> traffic<Connector>::answer(conversation& with, const sql::request& asked) {
+    const auto kind = asked.what.kind;
+    const bool ends = kind == sql::statement_kind::commit || kind == sql::statement_kind::rollback;
+    if (with.open && with.open->failed) {
+        if (!ends) {
+            co_return refused(sql::refusal::malformed, "the transaction failed", sql::transaction_state::failed);
+        }
+        with.open.reset();
+        if (kind == sql::statement_kind::rollback) {
+            co_return acknowledged(sql::transaction_state::idle);
+        }
+        co_return refused(sql::refusal::aborted, "the transaction failed", sql::transaction_state::idle);
+    }
+    if (with.open && m_ending_transactions && kind != sql::statement_kind::commit) {
+        m_engine.undo(*with.open);
+        with.open->failed = true;
+        co_return refused(sql::refusal::aborted, "this proxy is stopping", sql::transaction_state::failed);
+    }
+    switch (kind) {
+    case sql::statement_kind::begin:
+        co_return begin(with, false);
+    case sql::statement_kind::begin_read_only:
+        co_return begin(with, true);
+    case sql::statement_kind::rollback:
+        co_return roll_back(with);
+    case sql::statement_kind::set:
+        with.state.values.insert_or_assign(asked.what.name, asked.what.text);
+        co_return acknowledged(state_of(with));
+    case sql::statement_kind::prepare:
+        co_return prepare(with, asked.what);
+    case sql::statement_kind::deallocate:
+        co_return deallocate(with, asked.what);
+    case sql::statement_kind::commit:
+    case sql::statement_kind::read:
+    case sql::statement_kind::write:
+    case sql::statement_kind::execute:
+        break;
+    default:
+        co_return refused(sql::refusal::malformed, "not a caller's statement", state_of(with));
+    }
+    co_return co_await run(with, asked);
+}
+
+/// Runs what a backend server has to run.
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> traffic<Connector>::run(conversation& with, const sql::request& asked) {
+    const auto arrival = boot_clock::now();
+    const prepared_statement* prepared = nullptr;
+    if (asked.what.kind == sql::statement_kind::execute) {
+        const auto found = with.state.prepared.find(asked.what.name);
+        if (found == with.state.prepared.end()) {
+            co_return refused(sql::refusal::no_such_prepared_statement, asked.what.name, state_of(with));
+        }
+        prepared = &found->second;
+    }
+    if (!with.open) {
+        if (asked.what.kind == sql::statement_kind::commit) {
+            co_return refused(sql::refusal::malformed, "no transaction is open", sql::transaction_state::idle);
+        }
+        const auto found = m_config.routes.find(with.state.database);
+        if (found == m_config.routes.end()) {
+            co_return refused(sql::refusal::no_such_database, with.state.database, sql::transaction_state::idle);
+        }
+        // A copy: a newer configuration may replace it while the statement runs.
+        const auto route = found->second;
+        const statement_run one{route, with.state, asked, prepared, arrival};
+        co_return co_await m_engine.run_alone(pool_of(route), one);
+    }
+    const statement_run one{with.open->route, with.state, asked, prepared, arrival};
+    if (with.open->read_only && one.writes()) {
+        m_engine.undo(*with.open);
+        with.open->failed = true;
+        co_return refused(sql::refusal::not_primary, "the transaction only reads", sql::transaction_state::failed);
+    }
+    auto out = co_await m_engine.run_inside(*with.open, one);
+    if (asked.what.kind == sql::statement_kind::commit) {
+        with.open.reset();
+    }
+    co_return out;
+}
+
+} // namespace cornellever::session
--- a/src/cornellever/platform/faults.cpp
+++ b/src/cornellever/standin/faults.cpp
@@ -1,6 +1,6 @@
-#include "cornellever/platform/faults.hpp"
+#include "cornellever/standin/faults.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 void update(faults& switches, const Json::Value& params) {
     if (params.isMember("down")) {
@@ -22,4 +22,4 @@
     return out;
 }
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/faults.hpp
+++ b/src/cornellever/standin/faults.hpp
@@ -4,7 +4,7 @@
 
 #include <jsoncpp/json/value.h>
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 /// Fault switches of the platform stand-in, set at run time by `fault.set`.
 struct faults {
@@ -22,4 +22,4 @@
 /// The switches as JSON, for answers and dumps.
 [[nodiscard]] Json::Value to_json(const faults& switches);
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/fwd.hpp
+++ b/src/cornellever/standin/fwd.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 struct row;
 class table;
 class vm_list;
 struct faults;
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/main.cpp
+++ b/src/cornellever/standin/main.cpp
@@ -2,7 +2,7 @@
 
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
-#include "cornellever/platform/service.hpp"
+#include "cornellever/standin/service.hpp"
 
 namespace cornellever {
 
@@ -23,8 +23,8 @@
         return 2;
     }
     event_loop io;
-    platform::service stand_in{
-        io.get_executor(), platform::service_settings{std::chrono::milliseconds{lag.getValue()}, snapshot.getValue()}};
+    standin::service stand_in{
+        io.get_executor(), standin::service_settings{std::chrono::milliseconds{lag.getValue()}, snapshot.getValue()}};
     rpc::server rpc{io.get_executor()};
     stand_in.bind(rpc);
     auto bound = rpc.listen(where);
--- a/src/cornellever/platform/service.cpp
+++ b/src/cornellever/standin/service.cpp
@@ -1,4 +1,4 @@
-#include "cornellever/platform/service.hpp"
+#include "cornellever/standin/service.hpp"
 
 #include <fstream>
 #include <sstream>
@@ -6,7 +6,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/rpc/envelope.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 service::service(asio::any_io_executor executor, service_settings settings)
     : m_executor{std::move(executor)}
@@ -225,4 +225,4 @@
     }
 }
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/service.hpp
+++ b/src/cornellever/standin/service.hpp
@@ -5,12 +5,12 @@
 #include <string>
 
 #include "cornellever/core/asio.hpp"
-#include "cornellever/platform/faults.hpp"
-#include "cornellever/platform/table.hpp"
-#include "cornellever/platform/vm_list.hpp"
 #include "cornellever/rpc/server.hpp"
+#include "cornellever/standin/faults.hpp"
+#include "cornellever/standin/table.hpp"
+#include "cornellever/standin/vm_list.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 /// Settings of the platform stand-in.
 struct service_settings {
@@ -53,4 +53,4 @@
     faults m_faults;
 };
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/table.cpp
+++ b/src/cornellever/standin/table.cpp
@@ -1,6 +1,6 @@
-#include "cornellever/platform/table.hpp"
+#include "cornellever/standin/table.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 std::uint64_t table::version_of(std::string_view key) const {
     const auto found = m_rows.find(key);
@@ -51,4 +51,4 @@
     return out;
 }
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/table.hpp
+++ b/src/cornellever/standin/table.hpp
@@ -11,7 +11,7 @@
 
 #include "cornellever/core/error.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 /// A versioned row of the transactional table. Versions start at 1 and rise
 /// by one with each write of the row; 0 means "no such row".
@@ -64,4 +64,4 @@
     std::map<std::string, row, std::less<>> m_rows;
 };
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/vm_list.cpp
+++ b/src/cornellever/standin/vm_list.cpp
@@ -1,6 +1,6 @@
-#include "cornellever/platform/vm_list.hpp"
+#include "cornellever/standin/vm_list.hpp"
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 void vm_list::set(std::string address, vm value, clock::time_point now) {
     m_changes.push_back(change{now, std::move(address), std::move(value)});
@@ -43,4 +43,4 @@
     return false;
 }
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/cornellever/platform/vm_list.hpp
+++ b/src/cornellever/standin/vm_list.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace cornellever::platform {
+namespace cornellever::standin {
 
 /// What the platform says of a VM.
 enum class vm_state { live, leaving, gone };
@@ -49,4 +49,4 @@
 /// Parses a state name; false when it is none of them.
 [[nodiscard]] bool parse_vm_state(std::string_view text, vm_state& out) noexcept;
 
-} // namespace cornellever::platform
+} // namespace cornellever::standin
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, cornellever::role_main>, 5> roles{{
+constexpr std::array<std::pair<std::string_view, cornellever::role_main>, 6> roles{{
     {"proxy", cornellever::proxy_main},
+    {"serve", cornellever::serve_main},
     {"ctl", cornellever::ctl_main},
     {"platform", cornellever::platform_main},
     {"backend", cornellever::backend_main},
@@ -18,7 +19,7 @@
 
 int usage() {
     std::fputs("usage: cornellever ROLE [options]\n"
-               "roles: proxy, ctl, platform, backend, bench; 'cornellever ROLE --help' for each\n",
+               "roles: proxy, serve, ctl, platform, backend, bench; 'cornellever ROLE --help' for each\n",
                stderr);
     return 2;
 }
