--- /dev/null
+++ b/src/cornellever/cluster/charts.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string_view>
+
+namespace cornellever::cluster::charts {
+
+/// The text of charts/promotion.ini, compiled into the binary: the VMs have no
+/// disk to read it from.
+extern const std::string_view promotion;
+
+} // namespace cornellever::cluster::charts
--- /dev/null
+++ b/src/cornellever/cluster/control.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornellever/cluster/membership.hpp"
+#include "cornellever/cluster/metadata_store.hpp"
+#include "cornellever/cluster/peer_message.hpp"
+#include "cornellever/cluster/primary_judge.hpp"
+#include "cornellever/cluster/promotion.hpp"
+#include "cornellever/cluster/registry_keeper.hpp"
+#include "cornellever/cluster/snapshot.hpp"
+#include "cornellever/cluster/traffic_bridge.hpp"
+#include "cornellever/core/log.hpp"
+#include "cornellever/rpc/channel.hpp"
+#include "cornellever/rpc/server.hpp"
+
+namespace cornellever::cluster {
+
+/// Who this proxy is among the others.
+struct control_settings {
+    std::string name;
+    std::uint64_t incarnation{0};
+    asio::ip::udp::endpoint heartbeats;
+    tcp::endpoint peers;
+    std::vector<asio::ip::udp::endpoint> seeds;
+};
+
+/// The control side of a proxy, on a thread of its own: knows the other
+/// proxies, tells the traffic side of configuration, servers and what peers
+/// saw, and replaces primaries.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+class control {
+public:
+    using bridge = traffic_bridge<Connector>;
+    using time_point = boot_clock::time_point;
+
+    control(asio::any_io_executor executor, control_settings settings, Store& store, Orders& orders, bridge& servers,
+            const chart& promotion_steps)
+        : m_executor{executor}
+        , m_settings{std::move(settings)}
+        , m_store{store}
+        , m_bridge{servers}
+        , m_promotion{store,           servers,         orders,
+                      promotion_steps, m_settings.name, m_settings.name + "/" + std::to_string(m_settings.incarnation)}
+        , m_members{m_settings.name}
+        , m_socket{executor}
+        , m_rpc{executor} {}
+
+    /// Binds its addresses and begins; `unavailable` when one is taken.
+    [[nodiscard]] result<void> start();
+
+    /// Takes a configuration or the registered servers, from the store.
+    void take(routing::configuration config);
+    void take(const routing::registry& registered);
+
+    /// Whether the store answers this proxy at present.
+    void set_store_reachable(std::function<bool()> reachable) { m_store_reachable = std::move(reachable); }
+
+    /// Tells the peers that this proxy leaves by plan.
+    asio::awaitable<void> leave();
+
+private:
+    /// What was last known of a service's primary.
+    struct watch {
+        std::string primary;
+        time_point leaderless_since{};
+        time_point judged_since{};
+        primary_verdict verdict{primary_verdict::fine};
+        bool replacing{false};
+        time_point not_before{};
+        std::optional<service_sight> seen{};
+    };
+
+    struct asked {
+        time_point sent_at;
+    };
+
+    asio::awaitable<void> receive();
+    asio::awaitable<void> tick();
+    asio::awaitable<void> register_self();
+    asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
+    asio::awaitable<void> replace(std::string service, std::string old);
+    void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
+    void take_reports(const peer_message& message, time_point counted_from);
+    void ask_peers();
+    void send(const peer_message& message, const asio::ip::udp::endpoint& to);
+    [[nodiscard]] peer_message message_now(peer_message::kind what) const;
+    void look_after(const std::string& service, watch& at);
+    [[nodiscard]] primary_verdict verdict_on(const std::string& service, watch& at,
+                                             std::vector<primary_view>& views) const;
+    [[nodiscard]] std::chrono::milliseconds turn_delay() const;
+    [[nodiscard]] bool suspicious() const;
+    void share_budget();
+
+    static constexpr std::chrono::milliseconds tick_period{100};
+    /// Often enough that a peer's sample is fresh for a read that may be 1.5 s
+    /// old, and that two lost datagrams do not make a proxy look dead.
+    static constexpr std::chrono::milliseconds heartbeat_period{500};
+    static constexpr std::chrono::milliseconds suspicious_period{100};
+    /// The first proxy in the order of names acts; the others wait their turn
+    /// in case that it can't.
+    static constexpr std::chrono::milliseconds turn_step{250};
+    static constexpr std::chrono::milliseconds retry_pause{300};
+    /// Nobody leads and nobody was asked to: longer than a promotion takes.
+    static constexpr std::chrono::milliseconds leaderless_for{1800};
+    /// The feed of the store is given that long before a peer is asked.
+    static constexpr std::chrono::milliseconds feed_lead{200};
+    /// Until the others are known, the fewest connections are used.
+    static constexpr std::chrono::milliseconds unknown_for{1500};
+    static constexpr std::size_t many_proxies = 1000;
+    static constexpr std::chrono::milliseconds catch_up_limit{500};
+    static constexpr std::size_t sampled_peers = 12;
+
+    asio::any_io_executor m_executor;
+    control_settings m_settings;
+    Store& m_store;
+    bridge& m_bridge;
+    promotion<Store, bridge, Orders> m_promotion;
+    membership m_members;
+    asio::ip::udp::socket m_socket;
+    rpc::server m_rpc;
+    routing::configuration m_config;
+    registry_keeper m_registry;
+    std::map<std::string, watch, std::less<>> m_watched;
+    std::map<std::uint64_t, asked> m_questions;
+    std::uint64_t m_last_nonce{0};
+    std::function<bool()> m_store_reachable{[] { return true; }};
+    time_point m_started{boot_clock::now()};
+    time_point m_last_heartbeat{};
+    time_point m_behind_since{};
+    bool m_catching_up{false};
+    bool m_leaving{false};
+    std::size_t m_counted{0};
+    std::minstd_rand m_random{std::random_device{}()};
+};
+
+} // namespace cornellever::cluster
+
+#include "cornellever/cluster/control.ipp"
--- /dev/null
+++ b/src/cornellever/cluster/membership.cpp
@@ -0,0 +1,71 @@
+#include "cornellever/cluster/membership.hpp"
+
+#include <algorithm>
+
+namespace cornellever::cluster {
+
+void membership::learn(const std::string& name, const asio::ip::udp::endpoint& address, time_point now) {
+    if (name == m_self) {
+        return;
+    }
+    auto [at, added] = m_peers.try_emplace(name);
+    if (added) {
+        at->second.known_since = now;
+    }
+    if (added || !is_alive(at->second, now)) {
+        at->second.address = address;
+    }
+}
+
+bool membership::hear(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now,
+                      time_point counted_from) {
+    if (message.sender == m_self) {
+        return false;
+    }
+    auto [at, added] = m_peers.try_emplace(message.sender);
+    auto& item = at->second;
+    if (added) {
+        item.known_since = now;
+    }
+    const bool risen = !is_alive(item, now) || item.incarnation != message.incarnation;
+    item.address = from;
+    item.incarnation = message.incarnation;
+    item.heard_at = now;
+    item.config_version = message.config_version;
+    item.registry_version = message.registry_version;
+    if (counted_from >= item.reported_at) {
+        item.primaries = message.primaries;
+        item.reported_at = counted_from;
+    }
+    return risen;
+}
+
+void membership::leave(const std::string& name) {
+    m_peers.erase(name);
+}
+
+std::vector<std::string> membership::forget_silent(time_point now) {
+    std::vector<std::string> out;
+    for (const auto& [name, item] : m_peers) {
+        if (now - std::max(item.heard_at, item.known_since) > counted_for) {
+            out.push_back(name);
+        }
+    }
+    for (const auto& name : out) {
+        m_peers.erase(name);
+    }
+    return out;
+}
+
+std::vector<std::string> membership::alive(time_point now) const {
+    std::vector<std::string> out{m_self};
+    for (const auto& [name, item] : m_peers) {
+        if (is_alive(item, now)) {
+            out.push_back(name);
+        }
+    }
+    std::ranges::sort(out);
+    return out;
+}
+
+} // namespace cornellever::cluster
--- a/src/cornellever/cluster/metadata_store.hpp
+++ b/src/cornellever/cluster/metadata_store.hpp
@@ -20,6 +20,8 @@
     /// The store's version at the row's last change.
     std::uint64_t version{0};
     bool deleted{false};
+    /// The store's own steady clock at its answer, where a single row was read.
+    std::chrono::milliseconds store_time{0};
 };
 
 /// Rows as of one version of the store.
--- /dev/null
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/sql/position.hpp"
+
+namespace cornellever::cluster {
+
+/// A log position that the primary proved to hold, and how long ago it was asked.
+struct aged_sample {
+    std::chrono::milliseconds age{0};
+    sql::log_position position;
+};
+
+/// What a proxy has seen of one service's primary. Ages are as of the sending
+/// of the message: clocks of different VMs are not compared.
+struct primary_report {
+    std::string service;
+    std::string primary;
+    /// Since the server last proved its lead, and since it last answered.
+    std::chrono::milliseconds confirmed_age{0};
+    std::chrono::milliseconds heard_age{0};
+    /// Nobody answered at its address since; `refused` when its VM did, saying
+    /// that no process listens.
+    bool unreachable{false};
+    bool refused{false};
+    std::optional<aged_sample> sample{};
+};
+
+/// A heartbeat. A question is answered with the same nonce, so that who asked
+/// knows that the ages in the answer count from after the question.
+struct peer_message {
+    enum class kind { question, answer, farewell };
+
+    kind what{kind::question};
+    std::uint64_t nonce{0};
+    std::string sender;
+    /// Differs for each start of the sender's process.
+    std::uint64_t incarnation{0};
+    std::uint64_t config_version{0};
+    std::uint64_t registry_version{0};
+    std::vector<primary_report> primaries{};
+};
+
+/// One datagram. Fields are separated by blanks: a heartbeat is sent to every
+/// peer twice a second and bytes between data centres are paid for.
+[[nodiscard]] std::string encode(const peer_message& message);
+
+/// Nothing when the bytes are not a message of this version.
+[[nodiscard]] std::optional<peer_message> decode(std::string_view bytes);
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/primary_judge.cpp
@@ -0,0 +1,77 @@
+#include "cornellever/cluster/primary_judge.hpp"
+
+#include <algorithm>
+
+namespace cornellever::cluster {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A refusal is the VM's own word that no process listens. It is waited on
+/// for a moment only, because a connection's end may come before it.
+constexpr milliseconds refused_for{150};
+
+/// Silence may also be a lost packet, which TCP repeats after 200 ms, or a
+/// pause of this proxy's own VM.
+constexpr milliseconds silent_for{500};
+
+/// A peer that heard the primary within this sees it now: proxies ask an
+/// otherwise idle primary five times a second.
+constexpr milliseconds seen_lately{450};
+
+/// A proxy without any live peer can't tell whether it is itself cut off, and
+/// waits for others, who would see the same, to go first.
+constexpr milliseconds alone_for{2500};
+
+/// Three heartbeats of a server are missed before its entry goes; after the
+/// store's own outage entries are back within 2 s.
+constexpr milliseconds missing_and_unheard{300};
+constexpr milliseconds missing_for_good{2600};
+
+bool down(const primary_view& view) {
+    return view.unreachable && view.heard_age >= (view.refused ? refused_for : silent_for);
+}
+
+bool sees_it(const primary_view& view) {
+    return !view.unreachable && view.heard_age < seen_lately;
+}
+
+primary_verdict judge_missing(const primary_evidence& evidence) {
+    const auto missing = *evidence.entry.missing_for;
+    const bool heard = (evidence.own && sees_it(*evidence.own)) || std::ranges::any_of(evidence.peers, sees_it);
+    if (missing >= missing_for_good) {
+        return heard ? primary_verdict::leaving : primary_verdict::lost;
+    }
+    if (missing >= missing_and_unheard && !heard && evidence.own && evidence.own->unreachable) {
+        return primary_verdict::lost;
+    }
+    return primary_verdict::fine;
+}
+
+} // namespace
+
+primary_verdict judge(const primary_evidence& evidence) {
+    if (evidence.entry.missing_for) {
+        if (const auto verdict = judge_missing(evidence); verdict != primary_verdict::fine) {
+            return verdict;
+        }
+    }
+    if (evidence.own && down(*evidence.own)) {
+        if (std::ranges::any_of(evidence.peers, sees_it)) {
+            return primary_verdict::fine;
+        }
+        if (evidence.peers.empty() && evidence.known_peers > 0) {
+            return evidence.own->heard_age >= alone_for ? primary_verdict::lost : primary_verdict::fine;
+        }
+        const auto agreeing = static_cast<std::size_t>(std::ranges::count_if(evidence.peers, down)) + 1;
+        const auto voices = evidence.peers.size() + 1;
+        if (2 * agreeing > voices) {
+            return primary_verdict::lost;
+        }
+        return primary_verdict::fine;
+    }
+    return evidence.entry.draining ? primary_verdict::leaving : primary_verdict::fine;
+}
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/promotion.hpp
@@ -0,0 +1,198 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornellever/cluster/metadata_store.hpp"
+#include "cornellever/cluster/promotion_claim.hpp"
+#include "cornellever/cluster/successor.hpp"
+#include "cornellever/core/chart.hpp"
+#include "cornellever/core/log.hpp"
+
+namespace cornellever::cluster {
+
+/// Where promotions are ordered. Errors: `fenced` (a higher token was seen, or
+/// the server does not run), `busy` and `unavailable` (not done), else
+/// `outcome_unknown`: the order may be carried out later.
+template <typename T>
+concept promotion_orders = requires(T orders, std::string text, std::uint64_t token) {
+    { orders.promote(text, text, text, token) } -> std::same_as<asio::awaitable<result<void>>>;
+};
+
+/// The servers of a service, as a promotion needs them.
+template <typename T>
+concept promotion_servers = requires(T servers, std::string text, std::chrono::milliseconds limit) {
+    /// The reports of all replicas that answer.
+    { servers.survey(text, text) } -> std::same_as<asio::awaitable<std::vector<replica_report>>>;
+    /// Whether a server leads, waiting up to `limit` for it.
+    { servers.await_lead(text, text, limit) } -> std::same_as<asio::awaitable<bool>>;
+};
+
+/// How a promotion ended.
+struct promotion_outcome {
+    std::string state;
+    std::string event;
+    std::string successor;
+};
+
+/// Replaces a service's primary by the steps of a state chart.
+///
+/// Any proxy may try. A row of the metadata store says whose turn it is: it is
+/// written on the condition that it is unchanged since it was read, and its new
+/// version is the fencing token of the order. So two proxies never order with
+/// the same token, and an order that was delayed, or comes from a proxy that
+/// was paused meanwhile, is refused once a later one was given.
+template <metadata_store Store, promotion_servers Servers, promotion_orders Orders>
+class promotion {
+public:
+    /// `holder` names this proxy to the platform; `claimant` also tells one
+    /// start of its process from another.
+    promotion(Store& store, Servers& servers, Orders& orders, const chart& steps, std::string holder,
+              std::string claimant)
+        : m_store{store}
+        , m_servers{servers}
+        , m_orders{orders}
+        , m_steps{steps}
+        , m_holder{std::move(holder)}
+        , m_claimant{std::move(claimant)} {}
+
+    /// Runs the chart once, to replace `old` (empty when no primary is known).
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old) {
+        attempt now{.service = std::move(service), .old = std::move(old)};
+        std::string state = m_steps.start();
+        std::string event;
+        while (!m_steps.action(state).empty()) {
+            event = co_await act(m_steps.action(state), now);
+            log_event(event::promotion_step, "service=" + now.service + " state=" + state + " event=" + event +
+                                                 " old=" + now.old + " successor=" + now.successor +
+                                                 " token=" + std::to_string(now.token));
+            auto next = m_steps.next(state, event);
+            state = next ? *next : std::string{"given_up"};
+        }
+        co_return promotion_outcome{state, event, now.successor};
+    }
+
+private:
+    struct attempt {
+        std::string service;
+        std::string old;
+        std::string successor{};
+        std::uint64_t token{0};
+        int orders{0};
+    };
+
+    /// A promotion takes about 1.2 s from the order to the lead; in that time
+    /// nobody else begins one for the same primary.
+    static constexpr std::chrono::milliseconds turn_lasts{2600};
+    static constexpr std::chrono::milliseconds lead_wait{1400};
+    /// An unanswered order may be carried out up to 12 s later; others get
+    /// their turn long before.
+    static constexpr int max_orders = 3;
+
+    asio::awaitable<std::string> act(std::string_view action, attempt& now) {
+        if (action == "survey_replicas") {
+            co_return co_await survey(now);
+        }
+        if (action == "claim_turn") {
+            co_return co_await claim(now);
+        }
+        if (action == "order_promotion") {
+            co_return co_await order(now);
+        }
+        if (action == "await_lead") {
+            co_return co_await settle(now);
+        }
+        co_return "unknown_action";
+    }
+
+    asio::awaitable<std::string> survey(attempt& now) {
+        const auto reports = co_await m_servers.survey(now.service, now.old);
+        const auto leading = std::ranges::find_if(reports, [](const auto& item) { return item.leads; });
+        if (leading != reports.end()) {
+            now.successor = leading->id;
+            co_return "leads_already";
+        }
+        const auto chosen = choose_successor(reports);
+        if (!chosen) {
+            co_return "none_answered";
+        }
+        now.successor = chosen->id;
+        co_return "chosen";
+    }
+
+    asio::awaitable<std::string> claim(attempt& now) {
+        auto row = co_await m_store.read(std::string{claims_table}, now.service);
+        if (!row) {
+            co_return "store_unreachable";
+        }
+        const auto before = decode_claim(row->value);
+        if (before && before->replaces == now.old && before->holder != m_claimant &&
+            row->store_time - before->at < turn_lasts) {
+            co_return "held_by_other";
+        }
+        const promotion_claim mine{m_claimant, now.old, now.successor, ++m_claims, row->store_time};
+        auto written = co_await m_store.write_if(std::string{claims_table}, now.service, encode(mine), row->version);
+        if (written) {
+            now.token = *written;
+            co_return "claimed";
+        }
+        if (written.error().code == errc::conflict) {
+            co_return "held_by_other";
+        }
+        // The answer was lost, perhaps after the row was written; the row
+        // tells, since no other claim has this holder and number.
+        auto after = co_await m_store.read(std::string{claims_table}, now.service);
+        if (!after) {
+            co_return "store_unreachable";
+        }
+        const auto found = decode_claim(after->value);
+        if (found && found->holder == m_claimant && found->number == mine.number) {
+            now.token = after->version;
+            co_return "claimed";
+        }
+        co_return "held_by_other";
+    }
+
+    asio::awaitable<std::string> order(attempt& now) {
+        ++now.orders;
+        auto done = co_await m_orders.promote(now.service, now.successor, m_holder, now.token);
+        if (done) {
+            co_return "accepted";
+        }
+        if (done.error().code == errc::fenced) {
+            co_return "refused";
+        }
+        co_return "unanswered";
+    }
+
+    asio::awaitable<std::string> settle(attempt& now) {
+        const bool leads = co_await m_servers.await_lead(now.service, now.successor, lead_wait);
+        if (leads) {
+            co_return "leads";
+        }
+        if (now.orders >= max_orders) {
+            co_return "too_late";
+        }
+        auto row = co_await m_store.read(std::string{claims_table}, now.service);
+        if (row && row->version != now.token) {
+            co_return "superseded";
+        }
+        co_return "not_yet";
+    }
+
+    Store& m_store;
+    Servers& m_servers;
+    Orders& m_orders;
+    const chart& m_steps;
+    std::string m_holder;
+    std::string m_claimant;
+    std::uint64_t m_claims{0};
+};
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/promotion_claim.cpp
@@ -0,0 +1,39 @@
+#include "cornellever/cluster/promotion_claim.hpp"
+
+#include <sstream>
+
+namespace cornellever::cluster {
+
+namespace {
+
+/// Stands for an empty word.
+constexpr std::string_view nobody = "-";
+
+std::string_view word_of(const std::string& text) {
+    return text.empty() ? nobody : std::string_view{text};
+}
+
+} // namespace
+
+std::string encode(const promotion_claim& claim) {
+    std::ostringstream out;
+    out << claim.holder << ' ' << word_of(claim.replaces) << ' ' << word_of(claim.successor) << ' ' << claim.number
+        << ' ' << claim.at.count();
+    return std::move(out).str();
+}
+
+std::optional<promotion_claim> decode_claim(std::string_view text) {
+    std::istringstream in{std::string{text}};
+    promotion_claim out;
+    long long at_ms = 0;
+    if (!(in >> out.holder >> out.replaces >> out.successor >> out.number >> at_ms)) {
+        return std::nullopt;
+    }
+    if (out.replaces == nobody) {
+        out.replaces.clear();
+    }
+    out.at = std::chrono::milliseconds{at_ms};
+    return out;
+}
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/registry_keeper.cpp
@@ -0,0 +1,47 @@
+#include "cornellever/cluster/registry_keeper.hpp"
+
+#include <vector>
+
+namespace cornellever::cluster {
+
+void registry_keeper::take(const routing::registry& registered, time_point now) {
+    auto next = registered;
+    for (const auto& [id, server] : m_effective.servers) {
+        if (registered.servers.contains(id)) {
+            m_missing_since.erase(id);
+            continue;
+        }
+        // One that had said it would leave has left.
+        if (server.draining) {
+            m_missing_since.erase(id);
+            continue;
+        }
+        m_missing_since.try_emplace(id, now);
+        next.servers.emplace(id, server);
+    }
+    m_effective = std::move(next);
+    expire(now);
+}
+
+bool registry_keeper::expire(time_point now) {
+    std::vector<std::string> late;
+    for (const auto& [id, since] : m_missing_since) {
+        if (now - since > kept_for) {
+            late.push_back(id);
+        }
+    }
+    for (const auto& id : late) {
+        m_effective.servers.erase(id);
+    }
+    return !late.empty();
+}
+
+std::optional<std::chrono::milliseconds> registry_keeper::missing_for(const std::string& id, time_point now) const {
+    const auto found = m_missing_since.find(id);
+    if (found == m_missing_since.end()) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second);
+}
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/registry_keeper.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/routing/model.hpp"
+
+namespace cornellever::cluster {
+
+/// The backend servers to reckon with: those registered, and those whose entry
+/// has gone just now. An entry also goes when its server, alive and serving,
+/// can't reach the store for a while; dropping it at once would stop all
+/// writes although nothing is wrong with the server.
+class registry_keeper {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// Takes the registered servers as they are now.
+    void take(const routing::registry& registered, time_point now);
+
+    /// Drops what has been missing for too long; true when that changed
+    /// anything.
+    bool expire(time_point now);
+
+    [[nodiscard]] const routing::registry& effective() const noexcept { return m_effective; }
+
+    /// How long the entry of a server has been gone; nothing while it is there
+    /// or for a server not known.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> missing_for(const std::string& id, time_point now) const;
+
+private:
+    /// Entries are back about 2 s after the store is; a server gets nothing
+    /// new 7 s after its entry went (the operators' drain time), with room for
+    /// what is under way.
+    static constexpr std::chrono::milliseconds kept_for{4500};
+
+    routing::registry m_effective;
+    std::map<std::string, time_point, std::less<>> m_missing_since;
+};
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -0,0 +1,125 @@
+#include "cornellever/cluster/snapshot.hpp"
+
+#include "cornellever/core/daemon.hpp"
+#include "cornellever/rpc/fields.hpp"
+
+namespace cornellever::cluster {
+
+namespace {
+
+using rpc::text_field;
+using rpc::uint_field;
+
+std::chrono::milliseconds ms_field(const Json::Value& from, const char* name) {
+    return std::chrono::milliseconds{static_cast<long long>(uint_field(from, name))};
+}
+
+Json::Value to_json(const routing::database_route& route) {
+    Json::Value out;
+    out["database"] = route.database;
+    out["service"] = route.service;
+    out["reads"] = static_cast<int>(route.reads);
+    out["timeout_ms"] = static_cast<Json::Int64>(route.statement_timeout.count());
+    out["target_ms"] = static_cast<Json::Int64>(route.target_latency.count());
+    out["staleness_ms"] = static_cast<Json::Int64>(route.max_staleness.count());
+    out["priority"] = route.priority;
+    return out;
+}
+
+routing::database_route route_from(const Json::Value& from) {
+    routing::database_route out;
+    out.database = text_field(from, "database");
+    out.service = text_field(from, "service");
+    const auto reads = uint_field(from, "reads");
+    // An unknown kind is served as the strictest.
+    out.reads = reads <= 2 ? static_cast<routing::consistency>(reads) : routing::consistency::primary;
+    out.statement_timeout = ms_field(from, "timeout_ms");
+    out.target_latency = ms_field(from, "target_ms");
+    out.max_staleness = ms_field(from, "staleness_ms");
+    out.priority = static_cast<int>(uint_field(from, "priority"));
+    return out;
+}
+
+Json::Value to_json(const routing::backend_server& server) {
+    Json::Value out;
+    out["id"] = server.id;
+    out["service"] = server.service;
+    out["address"] = to_string(server.address);
+    out["data_center"] = server.data_center;
+    out["slots"] = static_cast<Json::UInt64>(server.slots);
+    out["draining"] = server.draining;
+    out["primary"] = server.role == routing::server_role::primary;
+    return out;
+}
+
+result<routing::backend_server> server_from(const Json::Value& from) {
+    routing::backend_server out;
+    out.id = text_field(from, "id");
+    out.service = text_field(from, "service");
+    if (out.id.empty() || !parse_endpoint(text_field(from, "address"), out.address)) {
+        return fail(errc::bad_request, "a server without an id or an address");
+    }
+    out.data_center = text_field(from, "data_center");
+    out.slots = uint_field(from, "slots");
+    out.draining = from["draining"].isBool() && from["draining"].asBool();
+    const bool primary = from["primary"].isBool() && from["primary"].asBool();
+    out.role = primary ? routing::server_role::primary : routing::server_role::replica;
+    return out;
+}
+
+} // namespace
+
+Json::Value to_json(const routing::configuration& config, const routing::registry& servers) {
+    Json::Value out;
+    out["config_version"] = static_cast<Json::UInt64>(config.version);
+    out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
+    out["routes"] = Json::arrayValue;
+    for (const auto& [name, route] : config.routes) {
+        out["routes"].append(to_json(route));
+    }
+    out["services"] = Json::arrayValue;
+    for (const auto& [name, limits] : config.services) {
+        Json::Value item;
+        item["service"] = name;
+        item["max_connections"] = static_cast<Json::UInt64>(limits.max_connections);
+        item["synchronous_replicas"] = limits.synchronous_replicas;
+        out["services"].append(std::move(item));
+    }
+    out["registry_version"] = static_cast<Json::UInt64>(servers.version);
+    out["servers"] = Json::arrayValue;
+    for (const auto& [id, server] : servers.servers) {
+        out["servers"].append(to_json(server));
+    }
+    return out;
+}
+
+result<proxy_snapshot> snapshot_from_json(const Json::Value& from) {
+    if (!from.isObject() || !from["routes"].isArray() || !from["services"].isArray() || !from["servers"].isArray()) {
+        return fail(errc::bad_request, "not a snapshot");
+    }
+    proxy_snapshot out;
+    out.config.version = uint_field(from, "config_version");
+    out.config.transaction_idle = ms_field(from, "transaction_idle_ms");
+    for (const auto& item : from["routes"]) {
+        auto route = route_from(item);
+        out.config.routes.insert_or_assign(route.database, std::move(route));
+    }
+    for (const auto& item : from["services"]) {
+        routing::service_limits limits;
+        limits.service = text_field(item, "service");
+        limits.max_connections = uint_field(item, "max_connections");
+        limits.synchronous_replicas = static_cast<int>(uint_field(item, "synchronous_replicas"));
+        out.config.services.insert_or_assign(limits.service, std::move(limits));
+    }
+    out.servers.version = uint_field(from, "registry_version");
+    for (const auto& item : from["servers"]) {
+        auto server = server_from(item);
+        if (!server) {
+            return std::unexpected{server.error()};
+        }
+        out.servers.servers.insert_or_assign(server->id, std::move(*server));
+    }
+    return out;
+}
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/snapshot.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/core/error.hpp"
+#include "cornellever/routing/model.hpp"
+
+namespace cornellever::cluster {
+
+/// What one proxy tells another that can't reach the store.
+struct proxy_snapshot {
+    routing::configuration config;
+    routing::registry servers;
+};
+
+[[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers);
+
+/// Errors: `bad_request` when a field is missing or of another type.
+[[nodiscard]] result<proxy_snapshot> snapshot_from_json(const Json::Value& from);
+
+} // namespace cornellever::cluster
--- /dev/null
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornellever/cluster/successor.hpp"
+#include "cornellever/core/asio.hpp"
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/session/traffic.hpp"
+
+namespace cornellever::cluster {
+
+/// What the traffic side sees of one service.
+struct service_sight {
+    std::string service;
+    routing::primary_sight primary;
+    std::optional<routing::freshness_sample> sample;
+};
+
+/// What a peer saw of one service's primary, in this proxy's own time.
+struct peer_sight {
+    std::string service;
+    std::string primary;
+    boot_clock::time_point confirmed_at;
+    std::optional<routing::freshness_sample> sample;
+};
+
+/// The traffic side as the control side uses it: every call is carried out on
+/// the traffic thread, its answer comes back to the caller's. A model of
+/// `promotion_servers`.
+template <routing::link_connector Connector>
+class traffic_bridge {
+public:
+    using traffic = session::traffic<Connector>;
+
+    traffic_bridge(asio::any_io_executor executor, traffic& host) : m_executor{std::move(executor)}, m_host{host} {}
+
+    template <typename Value>
+    void update(Value value) {
+        asio::post(m_executor, [this, value = std::move(value)]() mutable { m_host.update(std::move(value)); });
+    }
+
+    void set_proxies(std::size_t count) {
+        asio::post(m_executor, [this, count] { m_host.set_proxies(count); });
+    }
+
+    void take(std::vector<peer_sight> seen) {
+        asio::post(m_executor, [this, seen = std::move(seen)] {
+            for (const auto& item : seen) {
+                take_one(item);
+            }
+        });
+    }
+
+    asio::awaitable<std::vector<service_sight>> sights() {
+        return asio::co_spawn(m_executor, collect(), asio::use_awaitable);
+    }
+
+    asio::awaitable<std::vector<replica_report>> survey(std::string service, std::string old) {
+        return asio::co_spawn(m_executor, ask_all(std::move(service), std::move(old)), asio::use_awaitable);
+    }
+
+    asio::awaitable<bool> await_lead(std::string service, std::string id, std::chrono::milliseconds limit) {
+        return asio::co_spawn(m_executor, wait_for(std::move(service), std::move(id), limit), asio::use_awaitable);
+    }
+
+private:
+    using pool = typename traffic::pool;
+
+    /// Answers to a survey, filled in by one coroutine a server.
+    struct survey_state {
+        explicit survey_state(const asio::any_io_executor& executor) : done{executor} {}
+
+        std::vector<replica_report> reports;
+        std::size_t pending{0};
+        asio::steady_timer done;
+    };
+
+    /// A server that answers at all does so in a few round trips, unless its
+    /// two slots are taken by long statements.
+    static constexpr std::chrono::milliseconds survey_limit{450};
+    static constexpr std::chrono::milliseconds probe_period{50};
+
+    void take_one(const peer_sight& seen) {
+        const auto found = m_host.pools().find(seen.service);
+        if (found == m_host.pools().end()) {
+            return;
+        }
+        if (seen.sample) {
+            found->second->add_sample(*seen.sample);
+        }
+        if (!seen.primary.empty()) {
+            found->second->believe(seen.primary, seen.confirmed_at);
+        }
+    }
+
+    asio::awaitable<std::vector<service_sight>> collect() {
+        std::vector<service_sight> out;
+        for (const auto& [name, backends] : m_host.pools()) {
+            const auto* newest = backends->floor().newest();
+            out.push_back({name, backends->sight(),
+                           newest == nullptr ? std::nullopt : std::optional<routing::freshness_sample>{*newest}});
+        }
+        co_return out;
+    }
+
+    asio::awaitable<void> ask_one(pool& backends, std::string id, bool draining, std::shared_ptr<survey_state> into) {
+        auto answer = co_await backends.ask(id, sql::own(sql::statement_kind::status), survey_limit);
+        if (answer) {
+            replica_report report{.id = id, .received = {}, .draining = draining};
+            if (const auto status = Connector::status_of(*answer)) {
+                report.received = status->received;
+                report.leads = status->leads;
+            } else if (answer->position) {
+                // Too busy to tell; what it has applied it has received.
+                report.received = *answer->position;
+            }
+            into->reports.push_back(std::move(report));
+        }
+        if (--into->pending == 0) {
+            into->done.cancel();
+        }
+    }
+
+    asio::awaitable<std::vector<replica_report>> ask_all(std::string service, std::string old) {
+        auto& backends = m_host.pool_for(service);
+        auto state = std::make_shared<survey_state>(m_executor);
+        state->done.expires_after(survey_limit);
+        std::vector<std::pair<std::string, bool>> servers;
+        for (const auto& [id, at] : backends.entries()) {
+            if (id != old) {
+                servers.emplace_back(id, at->server.draining);
+            }
+        }
+        state->pending = servers.size();
+        for (auto& [id, draining] : servers) {
+            asio::co_spawn(m_executor, ask_one(backends, id, draining, state), asio::detached);
+        }
+        if (!servers.empty()) {
+            boost::system::error_code ignored;
+            co_await state->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        co_return state->reports;
+    }
+
+    asio::awaitable<bool> wait_for(std::string service, std::string id, std::chrono::milliseconds limit) {
+        auto& backends = m_host.pool_for(service);
+        const auto begun = boot_clock::now();
+        while (boot_clock::now() - begun < limit) {
+            co_await backends.probe(id);
+            const auto sight = backends.sight();
+            if (sight.id == id && sight.confirmed_at >= begun) {
+                co_return true;
+            }
+            co_await sleep_for(probe_period);
+        }
+        co_return false;
+    }
+
+    asio::any_io_executor m_executor;
+    traffic& m_host;
+};
+
+} // namespace cornellever::cluster
--- a/src/cornellever/core/log.cpp
+++ b/src/cornellever/core/log.cpp
@@ -28,6 +28,10 @@
     el::Loggers::removeFlag(el::LoggingFlag::ColoredTerminalOutput);
 }
 
+void set_log_level(severity minimum) {
+    g_minimum = minimum;
+}
+
 bool parse_severity(std::string_view text, severity& out) {
     if (text == "debug") {
         out = severity::debug;
--- a/src/cornellever/core/log.hpp
+++ b/src/cornellever/core/log.hpp
@@ -10,6 +10,9 @@
 /// tagged with the role's name; events below `minimum` are dropped.
 void init_logging(std::string_view role, severity minimum);
 
+/// Drops events below `minimum` from now on.
+void set_log_level(severity minimum);
+
 /// Parses "debug", "info", "warning" or "error"; false for anything else.
 [[nodiscard]] bool parse_severity(std::string_view text, severity& out);
 
--- a/src/cornellever/routing/backend_link.hpp
+++ b/src/cornellever/routing/backend_link.hpp
@@ -11,6 +11,7 @@
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/routing/model.hpp"
 #include "cornellever/sql/reply.hpp"
+#include "cornellever/sql/server_status.hpp"
 #include "cornellever/sql/statement.hpp"
 
 namespace cornellever::routing {
@@ -56,6 +57,8 @@
     {
         connector.open(server, until)
         } -> std::same_as<asio::awaitable<std::expected<std::unique_ptr<typename T::link>, connect_failure>>>;
+    /// What an answer to `statement_kind::status` says; nothing for a refusal.
+    { T::status_of(sql::reply{}) } -> std::same_as<std::optional<sql::server_status>>;
 };
 
 [[nodiscard]] constexpr std::string_view to_string(link_failure why) noexcept {
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -30,6 +30,8 @@
     /// unused. A read in it is refused once the server has lost the lead, so
     /// it needs no other proof of freshness.
     bool armed{false};
+    /// When that transaction was opened.
+    boot_clock::time_point armed_at{};
     /// When the statements were sent whose answers are still owed.
     boot_clock::time_point sent_at{};
     boot_clock::time_point idle_since{};
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -106,6 +106,14 @@
     /// Connections to each server that this proxy may hold.
     void set_budget(std::size_t connections) { m_budget = connections; }
 
+    /// A configuration came into force. A transaction that was opened before
+    /// counts as routed by the older one, so that no statement which the newer
+    /// one routes may run in it.
+    void start_epoch(time_point now) { m_epoch = now; }
+
+    /// Whether statements may use the transaction that is open on `held`.
+    [[nodiscard]] bool armed_now(const slot& held) const { return held.armed && held.armed_at >= m_epoch; }
+
     /// Takes the registered servers of the service.
     void update(const std::vector<const backend_server*>& servers);
 
@@ -230,6 +238,7 @@
     read_floor m_floor;
     std::string m_primary;
     time_point m_primary_at{};
+    time_point m_epoch{};
     bool m_seeking{false};
     bool m_used{false};
 };
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -198,11 +198,7 @@
     added.connection = std::move(*opened);
     added.home = &at;
     added.busy = true;
-    if (at.gone) {
-        destroy(added);
-        co_return;
-    }
-    if (at.server.id == m_primary) {
+    if (at.server.id == m_primary && !at.gone) {
         co_await refresh(added);
         co_return;
     }
@@ -241,6 +237,7 @@
     heard(at, std::nullopt);
     if (last->state == sql::transaction_state::open) {
         held.armed = true;
+        held.armed_at = held.sent_at;
         note_primary(at, held.sent_at, last->position);
     } else if (last->error && last->error->why == sql::refusal::not_primary) {
         note_not_primary(at);
@@ -305,6 +302,7 @@
     heard(at, std::nullopt);
     if (answer->ok()) {
         held.armed = true;
+        held.armed_at = held.sent_at;
         note_primary(at, held.sent_at, answer->position);
     } else if (answer->error->why == sql::refusal::not_primary) {
         note_not_primary(at);
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -73,13 +73,17 @@
 /// since a read sent right behind a refused BEGIN would run without it.
 template <routing::link_connector Connector>
 asio::awaitable<bool> statement_engine<Connector>::arm(pool& backends, lease& held, time_point until) {
-    if (held->armed) {
+    if (backends.armed_now(*held)) {
         co_return true;
     }
     held->sent_at = boot_clock::now();
     std::vector<sql::command> batch;
+    if (std::exchange(held->armed, false)) {
+        batch.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    const auto wanted = batch.size();
     batch.push_back(sql::own(sql::statement_kind::begin));
-    auto answer = co_await held->connection->exchange(std::move(batch), 0, until);
+    auto answer = co_await held->connection->exchange(std::move(batch), wanted, until);
     auto& at = *held->home;
     if (!answer) {
         backends.note_failure(at, answer.error());
@@ -88,6 +92,7 @@
     backends.heard(at, std::nullopt);
     if (answer->ok()) {
         held->armed = true;
+        held->armed_at = held->sent_at;
         backends.note_primary(at, held->sent_at, answer->position);
         co_return true;
     }
@@ -150,7 +155,7 @@
             log_decision(event::request_refused, run, backends.primary(), out.error->text);
             break;
         }
-        if (want.primary && !run.writes()) {
+        if ((want.primary || (*held)->armed) && !run.writes()) {
             const bool armed = co_await arm(backends, *held, run.until());
             if (!armed) {
                 held->release();
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -77,6 +77,9 @@
     [[nodiscard]] const traffic_counters& counters() const noexcept { return m_counters; }
     [[nodiscard]] std::map<std::string, std::unique_ptr<pool>, std::less<>>& pools() noexcept { return m_pools; }
 
+    /// The pool of a service, made when it is first asked for.
+    [[nodiscard]] pool& pool_for(const std::string& service);
+
 private:
     using transaction = typename engine::transaction;
 
@@ -87,7 +90,6 @@
         session_status status{};
     };
 
-    [[nodiscard]] pool& pool_of(const routing::database_route& route);
     void share_servers();
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> run(conversation& with, const sql::request& asked);
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -11,6 +11,9 @@
                                         " before=" + std::to_string(m_config.version) +
                                         " databases=" + std::to_string(config.routes.size()));
     m_config = std::move(config);
+    for (auto& [name, backends] : m_pools) {
+        backends->start_epoch(boot_clock::now());
+    }
     set_proxies(m_proxies);
 }
 
@@ -48,10 +51,10 @@
 }
 
 template <routing::link_connector Connector>
-typename traffic<Connector>::pool& traffic<Connector>::pool_of(const routing::database_route& route) {
-    auto& found = m_pools[route.service];
+typename traffic<Connector>::pool& traffic<Connector>::pool_for(const std::string& service) {
+    auto& found = m_pools[service];
     if (found == nullptr) {
-        found = std::make_unique<pool>(m_executor, m_connector, route.service, m_data_center);
+        found = std::make_unique<pool>(m_executor, m_connector, service, m_data_center);
         set_proxies(m_proxies);
         share_servers();
     }
@@ -163,7 +166,8 @@
     if (route == m_config.routes.end()) {
         return refused(sql::refusal::no_such_database, with.state.database, sql::transaction_state::idle);
     }
-    with.open.emplace(transaction{.route = route->second, .backends = &pool_of(route->second), .read_only = read_only});
+    with.open.emplace(
+        transaction{.route = route->second, .backends = &pool_for(route->second.service), .read_only = read_only});
     ++m_counters.transactions_opened;
     return acknowledged(sql::transaction_state::open);
 }
@@ -258,7 +262,7 @@
         // A copy: a newer configuration may replace it while the statement runs.
         const auto route = found->second;
         const statement_run one{route, with.state, asked, prepared, arrival};
-        co_return co_await m_engine.run_alone(pool_of(route), one);
+        co_return co_await m_engine.run_alone(pool_for(route.service), one);
     }
     const statement_run one{with.open->route, with.state, asked, prepared, arrival};
     if (with.open->read_only && one.writes()) {
