Floors of an older term keep their number; a stop never closes over a request that arrived

The server compares numbers; the floor keeps min(its number, the new term's first).

Also: proxies that the store does not answer leave a promotion to others (the first in turn was cut off and cost 1 s).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -107,7 +107,10 @@
     /// The first proxy in the order of names acts; the others wait their turn
     /// in case that it can't.
     static constexpr std::chrono::milliseconds turn_step{250};
+    static constexpr std::ptrdiff_t longest_turn = 6;
     static constexpr std::chrono::milliseconds retry_pause{300};
+    /// Another proxy has claimed the promotion, which takes 1.2 s.
+    static constexpr std::chrono::milliseconds others_turn{1200};
     /// Nobody leads and nobody was asked to: longer than a promotion takes.
     static constexpr std::chrono::milliseconds leaderless_for{1800};
     /// The feed of the store is given that long before a peer is asked.
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -95,7 +95,8 @@
                      .sender = m_settings.name,
                      .incarnation = m_settings.incarnation,
                      .config_version = m_config.version,
-                     .registry_version = m_registry.effective().version};
+                     .registry_version = m_registry.effective().version,
+                     .store_reachable = m_store_reachable()};
     for (const auto& [name, at] : m_watched) {
         if (!at.seen || at.seen->primary.id.empty()) {
             continue;
@@ -339,9 +340,12 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 std::chrono::milliseconds control<Store, Orders, Connector>::turn_delay() const {
-    const auto names = m_members.alive(boot_clock::now());
+    const auto names = m_members.able(boot_clock::now());
+    if (!m_store_reachable()) {
+        return turn_step * (longest_turn + 2);
+    }
     const auto place = std::ranges::find(names, m_settings.name) - names.begin();
-    return turn_step * std::min<std::ptrdiff_t>(place, 6);
+    return turn_step * std::min<std::ptrdiff_t>(place, longest_turn);
 }
 
 /// Decides whether a service's primary is to be replaced, and whether by this
@@ -403,7 +407,7 @@
               "service=" + service + " old=" + old + " successor=" + ended.successor + " event=" + ended.event);
     auto& at = m_watched[service];
     at.replacing = false;
-    at.not_before = boot_clock::now() + retry_pause;
+    at.not_before = boot_clock::now() + (ended.event == "held_by_other" ? others_turn : retry_pause);
     at.leaderless_since = boot_clock::now();
 }
 
--- a/src/cornellever/cluster/membership.cpp
+++ b/src/cornellever/cluster/membership.cpp
@@ -33,6 +33,7 @@
     item.heard_at = now;
     item.config_version = message.config_version;
     item.registry_version = message.registry_version;
+    item.store_reachable = message.store_reachable;
     if (counted_from >= item.reported_at) {
         item.primaries = message.primaries;
         item.reported_at = counted_from;
@@ -57,10 +58,10 @@
     return out;
 }
 
-std::vector<std::string> membership::alive(time_point now) const {
+std::vector<std::string> membership::able(time_point now) const {
     std::vector<std::string> out{m_self};
     for (const auto& [name, item] : m_peers) {
-        if (is_alive(item, now)) {
+        if (is_alive(item, now) && item.store_reachable) {
             out.push_back(name);
         }
     }
--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -22,6 +22,7 @@
     boot_clock::time_point known_since{};
     std::uint64_t config_version{0};
     std::uint64_t registry_version{0};
+    bool store_reachable{true};
     /// Its reports, and the time from which their ages count.
     std::vector<primary_report> primaries{};
     boot_clock::time_point reported_at{};
@@ -58,8 +59,9 @@
 
     [[nodiscard]] const std::map<std::string, peer, std::less<>>& peers() const noexcept { return m_peers; }
 
-    /// Names of the proxies that are alive, this one among them, in order.
-    [[nodiscard]] std::vector<std::string> alive(time_point now) const;
+    /// Names of the proxies that are alive and reach the store, in order; this
+    /// one is among them whether it reaches the store or not.
+    [[nodiscard]] std::vector<std::string> able(time_point now) const;
 
     /// Proxies whose connections count, this one among them.
     [[nodiscard]] std::size_t counted() const noexcept { return m_peers.size() + 1; }
--- a/src/cornellever/cluster/peer_message.cpp
+++ b/src/cornellever/cluster/peer_message.cpp
@@ -110,7 +110,8 @@
 std::string encode(const peer_message& message) {
     std::ostringstream out;
     out << magic << ' ' << letter_of(message.what) << ' ' << message.nonce << ' ' << message.sender << ' '
-        << message.incarnation << ' ' << message.config_version << ' ' << message.registry_version;
+        << message.incarnation << ' ' << message.config_version << ' ' << message.registry_version << ' '
+        << (message.store_reachable ? 1 : 0);
     for (const auto& item : message.primaries) {
         write_report(out, item);
     }
@@ -133,6 +134,7 @@
     out.incarnation = words.number();
     out.config_version = words.number();
     out.registry_version = words.number();
+    out.store_reachable = words.number() != 0;
     while (words.good() && !words.done()) {
         out.primaries.push_back(read_report(words));
     }
--- a/src/cornellever/cluster/peer_message.hpp
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -44,6 +44,8 @@
     std::uint64_t incarnation{0};
     std::uint64_t config_version{0};
     std::uint64_t registry_version{0};
+    /// Whether the store answers the sender.
+    bool store_reachable{true};
     std::vector<primary_report> primaries{};
 };
 
--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -28,6 +28,9 @@
             return;
         }
     }
+    if (m_samples.empty() || m_samples.back().position.term < sample.position.term) {
+        m_term_began = sample.position.number;
+    }
     m_samples.push_back(sample);
     while (m_samples.front().asked_at < sample.asked_at - keep_for) {
         m_samples.pop_front();
@@ -35,13 +38,13 @@
 }
 
 // A position of an older term may have been rolled back when the present
-// primary was promoted; no log would ever reach it and the read would be
-// refused for good. Every commit of an older term that survived stands before
-// the present term's first entry, so any log that has reached the present
-// term holds it.
+// primary was promoted; no log would reach it for long. What survived stands
+// before the present term's first sample, so that its number is enough. The
+// number has to stay: a replica that received nothing counts itself to the new
+// term all the same.
 sql::log_position read_floor::in_present_term(const sql::log_position& at) const {
     const auto term = m_samples.back().position.term;
-    return at.term < term ? sql::log_position{term, 0} : at;
+    return at.term < term ? sql::log_position{term, std::min(at.number, m_term_began)} : at;
 }
 
 std::optional<sql::log_position> read_floor::floor(time_point now, std::chrono::milliseconds max_staleness,
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <optional>
 
@@ -38,6 +39,8 @@
     [[nodiscard]] sql::log_position in_present_term(const sql::log_position& at) const;
 
     std::deque<freshness_sample> m_samples;
+    /// The number of the present term's first sample.
+    std::uint64_t m_term_began{0};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -24,7 +24,8 @@
     /// connection now cuts nothing.
     bool resting{false};
     bool in_transaction{false};
-    std::function<void()> close;
+    /// Closes it unless a request has arrived meanwhile.
+    std::function<void()> close_if_quiet;
 };
 
 /// The traffic side of a proxy that serves statement sessions: the
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -88,7 +88,7 @@
         }
     }
     for (auto* item : resting) {
-        item->status.close();
+        item->status.close_if_quiet();
     }
 }
 
@@ -114,13 +114,15 @@
     conversation with;
     with.state.id = ++m_last_session;
     with.state.database = opening->database;
-    with.status.close = [&caller] { caller.close(); };
+    with.status.close_if_quiet = [&caller] { caller.close_if_quiet(); };
     m_sessions.insert(&with);
     ++m_counters.sessions_opened;
     caller.welcome();
     for (;;) {
         with.status.resting = !with.open;
-        if (m_closing && with.status.resting) {
+        // A request that has arrived is still answered: the caller could not
+        // know that the session was about to end.
+        if (m_closing && with.status.resting && caller.close_if_quiet()) {
             break;
         }
         auto happened = co_await caller.next(silence_limit(with));
