--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Fuzzes the two decoders that meet input from outside, a fixed number of
+# Fuzzes the decoders that meet input from outside, a fixed number of
 # runs from a fixed seed, so that the verdict is the same every time.
 # RUNS=N for another number; SEED=N for other inputs.
 set -euo pipefail
@@ -10,18 +10,18 @@
 mkdir -p "$out"
 cd "$top"
 source scripts/clang16.sh
-flags=("${CLANG16_FLAGS[@]}" -O1 -g -Isrc -fsanitize=address,undefined -fno-sanitize-recover=undefined)
+flags=("${CLANG16_FLAGS[@]}" -O1 -g -Isrc -I. -fsanitize=address,undefined -fno-sanitize-recover=undefined)
 sources=(src/cornellever/config/ini_text.cpp src/cornellever/config/json.cpp src/cornellever/config/load.cpp src/cornellever/config/model.cpp
   src/cornellever/config/words.cpp
   src/cornellever/core/asio.cpp src/cornellever/core/error.cpp src/cornellever/ini/reader.cpp
   src/cornellever/proxy/group_record.cpp src/cornellever/proxy/request.cpp src/cornellever/proxy/session_token.cpp
-  src/cornellever/rpc/envelope.cpp)
-printf '%s\n' "${sources[@]}" tests/fuzz/config.cpp tests/fuzz/request.cpp |
-  xargs -P "$(nproc)" -I{} bash -c 'o="$1/$(echo "$2" | tr / _).o"; [ -e "$o" ] && [ -z "$(find src tests/fuzz -newer "$o" -print -quit)" ] || clang++-16 "${@:3}" -fsanitize=fuzzer-no-link -c "$2" -o "$o"' \
+  src/cornellever/rpc/envelope.cpp src/cornellever/cluster/peer_message.cpp platform/rows.cpp platform/statement_codec.cpp)
+printf '%s\n' "${sources[@]}" tests/fuzz/config.cpp tests/fuzz/request.cpp tests/fuzz/statements.cpp |
+  xargs -P "$(nproc)" -I{} bash -c 'o="$1/$(echo "$2" | tr / _).o"; [ -e "$o" ] && [ -z "$(find src platform tests/fuzz -newer "$o" -print -quit)" ] || clang++-16 "${@:3}" -fsanitize=fuzzer-no-link -c "$2" -o "$o"' \
     bash "$out" {} "${flags[@]}" 2>"$out/compile.log" || { cat "$out/compile.log"; exit 1; }
 objects=()
 for source in "${sources[@]}"; do objects+=("$out/$(echo "$source" | tr / _).o"); done
-for target in config request; do
+for target in config request statements; do
   clang++-16 "${flags[@]}" -fsanitize=fuzzer "$out/tests_fuzz_$target.cpp.o" "${objects[@]}" -ljsoncpp -linih -lpthread -o "$out/$target"
   rm -rf "$out/corpus-$target" && mkdir "$out/corpus-$target"
   "$out/$target" -runs="$runs" -seed="$seed" -max_len=4096 -timeout=10 -artifact_prefix="$out/" \
--- /dev/null
+++ b/scripts/names.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Names of the users' platform belong in platform/ alone: fails when one stands
+# in the product's own code or its tests of it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='ExpectedRev|HasMore|rows-(tx|get|feed|parts)|WarmupLeftMs|DbRole|SyncReplicas|MaxStalenessMs|CORNELLEVER_BOOT|X-Cornellever|TxIdleMs'
+if grep -rnE "$names" src --include='*.cpp' --include='*.hpp' --include='*.ipp' --include='*.ini'; then
+  echo "names: the lines above use names of the platform outside platform/"
+  exit 1
+fi
+echo "names: none of the platform's outside platform/"
--- /dev/null
+++ b/tests/fuzz/statements.cpp
@@ -0,0 +1,46 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "cornellever/cluster/peer_message.hpp"
+#include "platform/rows.hpp"
+#include "platform/statement_codec.hpp"
+
+using namespace cornellever;
+
+/// Whatever a caller, a backend server, a peer or the store sends: it is
+/// decoded or refused. What a caller sends must not become two lines for a
+/// server, and what is decoded must be encoded as it was.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const std::string_view text{reinterpret_cast<const char*>(data), size};
+    const auto line = text.substr(0, text.find('\n'));
+    const auto event = platform::decode_caller_line(line);
+    if (const auto* request = std::get_if<sql::request>(&event)) {
+        const auto bytes = platform::encode_command({request->id, request->what, {}});
+        if (bytes.find('\n') != bytes.size() - 1) {
+            std::abort();
+        }
+        const auto again = platform::decode_caller_line(std::string_view{bytes}.substr(0, bytes.size() - 2));
+        if (!std::holds_alternative<sql::request>(again)) {
+            std::abort();
+        }
+    }
+    platform::reply_decoder decoder;
+    for (auto rest = text; !rest.empty();) {
+        const auto end = rest.find('\n');
+        if (decoder.take(rest.substr(0, end)) != platform::reply_decoder::step::more) {
+            (void)decoder.finish();
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    (void)platform::decode_status(text);
+    (void)platform::decode_configuration(text);
+    (void)platform::decode_server("id", text);
+    if (const auto message = cluster::decode(text)) {
+        if (!cluster::decode(cluster::encode(*message))) {
+            std::abort();
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/unit/cluster.cpp
@@ -0,0 +1,250 @@
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+#include "cornellever/cluster/membership.hpp"
+#include "cornellever/cluster/peer_message.hpp"
+#include "cornellever/cluster/primary_judge.hpp"
+#include "cornellever/cluster/registry_keeper.hpp"
+#include "cornellever/cluster/snapshot.hpp"
+#include "cornellever/cluster/table_follower.hpp"
+#include "cornellever/core/daemon.hpp"
+#include "fake_link.hpp"
+
+using namespace cornellever;
+using namespace std::chrono_literals;
+using cluster::primary_evidence;
+using cluster::primary_verdict;
+using cluster::primary_view;
+
+namespace {
+
+const boot_clock::time_point start{std::chrono::hours{1}};
+
+constexpr primary_view seen{50ms, false, false};
+constexpr primary_view silent{900ms, true, false};
+constexpr primary_view refused{200ms, true, true};
+
+primary_verdict judge(std::optional<primary_view> own, std::vector<primary_view> peers, std::size_t known = 2) {
+    primary_evidence evidence;
+    evidence.own = own;
+    evidence.peers = peers;
+    evidence.known_peers = known;
+    return cluster::judge(evidence);
+}
+
+/// A store whose answers a test lines up.
+struct scripted_store {
+    std::deque<result<cluster::store_rows>> lists;
+    std::deque<result<cluster::store_rows>> feeds;
+    std::vector<std::uint64_t> asked_after;
+    event_loop& io;
+
+    asio::awaitable<result<cluster::store_rows>> list(std::string) { return next(lists); }
+    asio::awaitable<result<cluster::store_rows>> changes(std::string, std::uint64_t after, std::chrono::milliseconds) {
+        asked_after.push_back(after);
+        return next(feeds);
+    }
+    asio::awaitable<result<cluster::store_rows>> next(std::deque<result<cluster::store_rows>>& from) {
+        if (from.empty()) {
+            io.stop();
+            co_await sleep_for(1h);
+        }
+        auto out = from.front();
+        from.pop_front();
+        co_return out;
+    }
+    asio::awaitable<result<cluster::store_row>> read(std::string, std::string) { co_return cluster::store_row{}; }
+    asio::awaitable<result<std::uint64_t>> write_if(std::string, std::string, std::string, std::uint64_t) {
+        co_return 0;
+    }
+    asio::awaitable<result<std::uint64_t>> write(std::string, std::string, std::string) { co_return 0; }
+    asio::awaitable<result<std::uint64_t>> remove(std::string, std::string) { co_return 0; }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(judging_a_primary)
+
+BOOST_AUTO_TEST_CASE(one_that_answers_is_fine) {
+    BOOST_TEST((judge(seen, {seen, seen}) == primary_verdict::fine));
+}
+
+// Awards made in the last seconds vanish: the primary was well, one proxy
+// could not reach it and had a replica promoted that lagged behind.
+BOOST_AUTO_TEST_CASE(one_that_only_this_proxy_cannot_reach_is_not_replaced) {
+    BOOST_TEST((judge(silent, {seen, silent}) == primary_verdict::fine));
+    BOOST_TEST((judge(refused, {seen, refused}) == primary_verdict::fine));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_nobody_reaches_is_lost) {
+    BOOST_TEST((judge(silent, {silent, silent}) == primary_verdict::lost));
+    BOOST_TEST((judge(refused, {refused, silent}) == primary_verdict::lost));
+}
+
+BOOST_AUTO_TEST_CASE(a_moment_of_silence_is_no_evidence) {
+    BOOST_TEST((judge(primary_view{300ms, true, false}, {silent, silent}) == primary_verdict::fine));
+}
+
+// A proxy that is cut off from all others and from the primary would otherwise
+// order a promotion that nobody else sees a need for.
+BOOST_AUTO_TEST_CASE(a_proxy_without_live_peers_waits_longer) {
+    BOOST_TEST((judge(silent, {}) == primary_verdict::fine));
+    BOOST_TEST((judge(primary_view{2600ms, true, false}, {}) == primary_verdict::lost));
+    BOOST_TEST((judge(silent, {}, 0) == primary_verdict::lost));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_drains_is_to_be_replaced_while_it_serves) {
+    primary_evidence evidence;
+    evidence.own = seen;
+    evidence.entry.draining = true;
+    BOOST_TEST((cluster::judge(evidence) == primary_verdict::leaving));
+}
+
+// Nobody can write although the primary is well: its entry went because it
+// could not reach the store for some seconds, and it was dropped for that.
+BOOST_AUTO_TEST_CASE(one_whose_entry_went_is_replaced_only_after_a_while) {
+    primary_evidence evidence;
+    evidence.own = seen;
+    evidence.entry.missing_for = 1000ms;
+    BOOST_TEST((cluster::judge(evidence) == primary_verdict::fine));
+    evidence.entry.missing_for = 2700ms;
+    BOOST_TEST((cluster::judge(evidence) == primary_verdict::leaving));
+    evidence.own = silent;
+    evidence.entry.missing_for = 400ms;
+    BOOST_TEST((cluster::judge(evidence) == primary_verdict::lost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(heartbeats)
+
+BOOST_AUTO_TEST_CASE(a_message_is_read_as_it_was_written) {
+    cluster::peer_message message{.what = cluster::peer_message::kind::answer,
+                                  .nonce = 5,
+                                  .sender = "proxy-1",
+                                  .incarnation = 9,
+                                  .config_version = 7,
+                                  .registry_version = 11,
+                                  .store_reachable = false};
+    message.primaries.push_back({.service = "stock",
+                                 .primary = "p",
+                                 .confirmed_age = 12ms,
+                                 .heard_age = 3ms,
+                                 .unreachable = true,
+                                 .refused = true,
+                                 .sample = cluster::aged_sample{8ms, {2, 66}}});
+    message.primaries.push_back({.service = "other"});
+    const auto back = cluster::decode(cluster::encode(message));
+    BOOST_TEST_REQUIRE(back.has_value());
+    BOOST_TEST(back->sender == "proxy-1");
+    BOOST_TEST(!back->store_reachable);
+    BOOST_TEST_REQUIRE(back->primaries.size() == 2U);
+    BOOST_TEST(back->primaries[0].refused);
+    BOOST_TEST((back->primaries[0].sample->position == sql::log_position{2, 66}));
+    BOOST_TEST(back->primaries[1].primary.empty());
+}
+
+BOOST_AUTO_TEST_CASE(anything_else_is_not_a_message) {
+    for (const auto* bytes : {"", "cl1", "cl2 q 1 a 1 1 1 1", "cl1 x 1 a 1 1 1 1", "cl1 q one a 1 1 1 1",
+                              "cl1 q 1 a 1 1 1 1 stock p 1", "cl1 q 1 a 1 1 1 1 stock p 1 1 .s 5 1"}) {
+        BOOST_TEST(!cluster::decode(bytes), bytes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_proxy_is_known_from_its_heartbeat_and_forgotten_when_silent) {
+    using namespace cornellever::cluster;
+    membership members{"b"};
+    const asio::ip::udp::endpoint where{asio::ip::make_address("10.0.0.1"), 7000};
+    members.learn("a", where, start);
+    BOOST_TEST(members.counted() == 2U);
+    BOOST_TEST(members.able(start).size() == 1U);
+    peer_message message{.sender = "a", .incarnation = 1};
+    BOOST_TEST(members.hear(message, where, start, start));
+    BOOST_TEST(!members.hear(message, where, start + 100ms, start));
+    BOOST_TEST((members.able(start + 200ms) == std::vector<std::string>{"a", "b"}));
+    // One that the store does not answer can't take its turn at a promotion.
+    message.store_reachable = false;
+    members.hear(message, where, start + 300ms, start);
+    BOOST_TEST(members.able(start + 400ms).size() == 1U);
+    BOOST_TEST(members.forget_silent(start + 5s).empty());
+    BOOST_TEST(members.forget_silent(start + 10s).size() == 1U);
+    BOOST_TEST(members.counted() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_is_read_as_it_was_written) {
+    const auto config = test::three_databases(4);
+    auto servers = test::three_servers();
+    servers.servers["p"].draining = true;
+    for (auto& [id, server] : servers.servers) {
+        BOOST_TEST_REQUIRE(parse_endpoint("10.0.0.7:80", server.address));
+    }
+    const auto back = cluster::snapshot_from_json(cluster::to_json(config, servers));
+    BOOST_TEST_REQUIRE(back.has_value());
+    BOOST_TEST(back->config.version == 4U);
+    BOOST_TEST((back->config.routes.at("own").reads == routing::consistency::read_your_writes));
+    BOOST_TEST((back->config.routes.at("own").max_staleness == 1500ms));
+    BOOST_TEST(back->servers.servers.at("p").draining);
+    BOOST_TEST((back->servers.servers.at("p").role == routing::server_role::primary));
+    BOOST_TEST(!cluster::snapshot_from_json(Json::Value{3}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(following_the_store)
+
+// No request is served for seconds after an outage of the store although every
+// server is well: their entries had expired meanwhile.
+BOOST_AUTO_TEST_CASE(servers_whose_entry_went_are_kept_for_a_while) {
+    cluster::registry_keeper keeper;
+    keeper.take(test::three_servers(), start);
+    auto fewer = test::three_servers();
+    fewer.servers.erase("r1");
+    keeper.take(fewer, start + 1s);
+    BOOST_TEST(keeper.effective().servers.contains("r1"));
+    BOOST_TEST((keeper.missing_for("r1", start + 2s) == 1000ms));
+    BOOST_TEST(!keeper.missing_for("p", start + 2s));
+    keeper.take(test::three_servers(), start + 3s);
+    BOOST_TEST(!keeper.missing_for("r1", start + 3s));
+    keeper.take(fewer, start + 4s);
+    BOOST_TEST(!keeper.expire(start + 8s));
+    BOOST_TEST(keeper.expire(start + 9s));
+    BOOST_TEST(!keeper.effective().servers.contains("r1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_drained_and_went_is_gone_at_once) {
+    cluster::registry_keeper keeper;
+    auto servers = test::three_servers();
+    servers.servers["r1"].draining = true;
+    keeper.take(servers, start);
+    servers.servers.erase("r1");
+    keeper.take(servers, start + 1s);
+    BOOST_TEST(!keeper.effective().servers.contains("r1"));
+}
+
+// A proxy keeps a configuration that was replaced long ago: the store dropped
+// the history from which it would have learned of the change.
+BOOST_AUTO_TEST_CASE(the_whole_table_is_read_again_when_its_history_is_gone) {
+    event_loop io;
+    scripted_store store{.io = io};
+    store.lists.push_back(cluster::store_rows{{{"a", "1", 3, false}, {"b", "1", 4, false}}, 4, 0ms});
+    store.feeds.push_back(cluster::store_rows{{{"a", "2", 5, false}}, 5, 0ms});
+    store.feeds.push_back(fail(errc::unavailable, "down"));
+    store.feeds.push_back(fail(errc::behind, "gone"));
+    store.lists.push_back(cluster::store_rows{{{"a", "3", 9, false}}, 9, 0ms});
+    std::vector<std::pair<std::size_t, std::string>> seen_rows;
+    cluster::table_follower follower{store, "t", 10ms, [&](const cluster::table_rows& rows, std::uint64_t) {
+                                         seen_rows.emplace_back(rows.size(), rows.at("a").value);
+                                     }};
+    asio::co_spawn(io, follower.run(), asio::detached);
+    io.run();
+    BOOST_TEST_REQUIRE(seen_rows.size() == 3U);
+    BOOST_TEST(seen_rows[1].first == 2U);
+    BOOST_TEST(seen_rows[1].second == "2");
+    BOOST_TEST(seen_rows[2].first == 1U);
+    BOOST_TEST(seen_rows[2].second == "3");
+    BOOST_TEST((store.asked_after == std::vector<std::uint64_t>{4, 5, 5, 9}));
+    io.abandon_pending();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/fake_link.hpp
@@ -0,0 +1,246 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <expected>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornellever/routing/backend_link.hpp"
+#include "cornellever/routing/model.hpp"
+#include "cornellever/session/session_state.hpp"
+
+namespace cornellever::test {
+
+/// A statement as a fake server met it.
+struct met_statement {
+    int connection{0};
+    /// Counts the batches of the connection: statements of one batch were sent
+    /// without waiting for an answer.
+    int batch{0};
+    std::string id;
+    sql::statement_kind kind{sql::statement_kind::begin};
+    std::string text;
+    bool in_transaction{false};
+    std::map<std::string, std::string, std::less<>> values;
+};
+
+/// A backend server in memory, with the failures that tests bring about.
+struct fake_server {
+    bool leads{false};
+    sql::log_position position{1, 10};
+    /// Opening a connection is refused, or not answered.
+    std::optional<routing::connect_failure> connect_fails{};
+    /// Statements are not answered from now on, though they run.
+    bool silent{false};
+    /// The answers to so many callers' statements are lost, though they run.
+    int lose_answers{0};
+    /// So many callers' statements are refused.
+    int refuse{0};
+    sql::refusal refuse_with{sql::refusal::overloaded};
+    std::vector<met_statement> met{};
+    int connections{0};
+
+    [[nodiscard]] std::vector<met_statement> of(const std::string& id) const {
+        std::vector<met_statement> out;
+        std::ranges::copy_if(met, std::back_inserter(out), [&](const auto& item) { return item.id == id; });
+        return out;
+    }
+    [[nodiscard]] std::size_t count(sql::statement_kind kind) const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(met, [&](const auto& item) { return item.kind == kind; }));
+    }
+};
+
+/// A connection to a fake server (routing::backend_link).
+class fake_link {
+public:
+    explicit fake_link(fake_server& server) : m_server{server}, m_number{++server.connections} {}
+
+    asio::awaitable<routing::link_reply> exchange(const std::vector<sql::command>& batch, std::size_t wanted,
+                                                  boot_clock::time_point until) {
+        if (!post(batch)) {
+            co_return std::unexpected{routing::link_failure::not_sent};
+        }
+        for (std::size_t i = 0; i <= wanted; ++i) {
+            if (m_owed.empty() || m_server.silent || m_lost) {
+                co_await sleep_for(
+                    std::chrono::milliseconds{std::min<long long>(to_ms(until - boot_clock::now()), 20)});
+                close();
+                co_return std::unexpected{routing::link_failure::silent};
+            }
+            m_last = m_owed.front();
+            m_owed.erase(m_owed.begin());
+        }
+        co_return m_last;
+    }
+
+    bool post(const std::vector<sql::command>& batch) {
+        if (!m_usable) {
+            return false;
+        }
+        ++m_batch;
+        for (const auto& item : batch) {
+            run(item);
+        }
+        return true;
+    }
+
+    asio::awaitable<routing::link_reply> settle(boot_clock::time_point) {
+        if (m_server.silent || m_lost) {
+            close();
+            co_return std::unexpected{routing::link_failure::silent};
+        }
+        auto last = m_owed.empty() ? sql::reply{} : m_owed.back();
+        m_owed.clear();
+        co_return last;
+    }
+
+    [[nodiscard]] bool usable() const { return m_usable; }
+    void close() { m_usable = false; }
+
+private:
+    void run(const sql::command& what) {
+        m_server.met.push_back({m_number, m_batch, what.request_id, what.what.kind, what.what.text,
+                                m_state == sql::transaction_state::open, m_values});
+        m_owed.push_back(answer(what));
+        if (!what.request_id.empty() && m_server.lose_answers > 0) {
+            --m_server.lose_answers;
+            m_lost = true;
+        }
+    }
+
+    sql::reply refuse(sql::refusal why) {
+        sql::reply out;
+        out.error = sql::statement_error{why, "fake"};
+        if (m_state != sql::transaction_state::idle) {
+            m_state = sql::transaction_state::failed;
+        }
+        out.state = m_state;
+        out.position = m_server.position;
+        return out;
+    }
+
+    sql::reply answer(const sql::command& what) {
+        using sql::statement_kind;
+        const auto kind = what.what.kind;
+        if (!what.request_id.empty() && m_server.refuse > 0) {
+            --m_server.refuse;
+            return refuse(m_server.refuse_with);
+        }
+        if (what.after && m_server.position < *what.after) {
+            return refuse(sql::refusal::behind);
+        }
+        const bool lost_lead = m_plain && !m_server.leads;
+        if (kind == statement_kind::rollback) {
+            m_state = sql::transaction_state::idle;
+            m_plain = false;
+        } else if (m_state == sql::transaction_state::failed) {
+            return refuse(sql::refusal::malformed);
+        } else if (kind == statement_kind::begin) {
+            if (!m_server.leads) {
+                return refuse(sql::refusal::not_primary);
+            }
+            m_state = sql::transaction_state::open;
+            m_plain = true;
+        } else if (kind == statement_kind::begin_read_only) {
+            m_state = sql::transaction_state::open;
+        } else if (kind == statement_kind::set) {
+            m_values.insert_or_assign(what.what.name, what.what.text);
+        } else if (kind == statement_kind::reset) {
+            m_values.clear();
+        } else if (lost_lead || (kind == statement_kind::write && !m_server.leads)) {
+            return refuse(sql::refusal::not_primary);
+        } else if (kind == statement_kind::commit) {
+            m_state = sql::transaction_state::idle;
+            m_plain = false;
+            ++m_server.position.number;
+        } else if (kind == statement_kind::write && m_state == sql::transaction_state::idle) {
+            ++m_server.position.number;
+        }
+        sql::reply out;
+        out.state = m_state;
+        out.position = m_server.position;
+        if (!what.request_id.empty()) {
+            out.signature = "sig-" + what.request_id;
+        }
+        if (kind == statement_kind::read) {
+            out.rows.push_back("row-" + what.what.text);
+        }
+        return out;
+    }
+
+    fake_server& m_server;
+    int m_number;
+    int m_batch{0};
+    std::vector<sql::reply> m_owed;
+    sql::reply m_last;
+    sql::transaction_state m_state{sql::transaction_state::idle};
+    std::map<std::string, std::string, std::less<>> m_values;
+    bool m_plain{false};
+    bool m_usable{true};
+    bool m_lost{false};
+};
+
+/// Opens connections to fake servers by id (routing::link_connector).
+struct fake_connector {
+    using link = fake_link;
+
+    std::map<std::string, fake_server> servers;
+
+    asio::awaitable<std::expected<std::unique_ptr<fake_link>, routing::connect_failure>>
+    open(const routing::backend_server& server, boot_clock::time_point) {
+        auto& found = servers[server.id];
+        if (found.connect_fails) {
+            co_return std::unexpected{*found.connect_fails};
+        }
+        co_return std::make_unique<fake_link>(found);
+    }
+
+    static std::optional<sql::server_status> status_of(const sql::reply&) { return std::nullopt; }
+};
+
+/// A registry of one service: a primary `p` here, replicas `r1` here and `r2`
+/// in another data centre.
+[[nodiscard]] inline routing::registry three_servers() {
+    routing::registry out;
+    out.version = 1;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        routing::backend_server server;
+        server.id = id;
+        server.service = "stock";
+        server.data_center = std::string{id} == "r2" ? "there" : "here";
+        server.role = std::string{id} == "p" ? routing::server_role::primary : routing::server_role::replica;
+        out.servers.emplace(id, server);
+    }
+    return out;
+}
+
+/// Databases `strict` (primary), `fresh` (bounded staleness) and `own`
+/// (read your writes) of that service.
+[[nodiscard]] inline routing::configuration three_databases(std::uint64_t version = 1) {
+    using namespace std::chrono_literals;
+    routing::configuration out;
+    out.version = version;
+    const auto add = [&](const char* name, routing::consistency reads) {
+        routing::database_route route;
+        route.database = name;
+        route.service = "stock";
+        route.reads = reads;
+        route.statement_timeout = 300ms;
+        route.target_latency = 100ms;
+        route.max_staleness = 1500ms;
+        out.routes.emplace(name, route);
+    };
+    add("strict", routing::consistency::primary);
+    add("fresh", routing::consistency::bounded_staleness);
+    add("own", routing::consistency::read_your_writes);
+    out.services.emplace("stock", routing::service_limits{"stock", 16, 0});
+    out.transaction_idle = 150ms;
+    return out;
+}
+
+} // namespace cornellever::test
--- /dev/null
+++ b/tests/unit/routing.cpp
@@ -0,0 +1,169 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cornellever/routing/admission.hpp"
+#include "cornellever/routing/connection_budget.hpp"
+#include "cornellever/routing/placement.hpp"
+#include "cornellever/routing/waiting_line.hpp"
+#include "cornellever/session/connection_memory.hpp"
+#include "cornellever/session/planned_stop.hpp"
+#include "cornellever/session/serve_settings.hpp"
+
+using namespace cornellever;
+using namespace std::chrono_literals;
+using routing::placement_candidate;
+
+namespace {
+
+placement_candidate candidate(double typical_ms, bool same, bool primary = false, std::size_t idle = 1,
+                              std::size_t in_flight = 0) {
+    return {.same_data_center = same,
+            .primary = primary,
+            .in_flight = in_flight,
+            .idle = idle,
+            .typical = std::chrono::duration<double, std::milli>{typical_ms}};
+}
+
+struct waiting {
+    int priority{0};
+    boot_clock::time_point until{};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placing)
+
+BOOST_AUTO_TEST_CASE(the_own_data_center_comes_first_while_it_is_no_slower) {
+    const std::vector<placement_candidate> servers{candidate(10, false), candidate(12, true)};
+    BOOST_TEST(*routing::place_read(servers, false) == 1U);
+    const std::vector<placement_candidate> crowded{candidate(10, false), candidate(40, true)};
+    BOOST_TEST(*routing::place_read(crowded, false) == 0U);
+}
+
+// One server takes five times as long as the others; reads that go on being
+// shared out evenly miss their latency there.
+BOOST_AUTO_TEST_CASE(a_slow_server_gets_fewer_reads) {
+    const std::vector<placement_candidate> servers{candidate(50, true), candidate(10, false, true)};
+    BOOST_TEST(*routing::place_read(servers, false) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_primary_keeps_a_connection_for_what_only_it_can_run) {
+    const std::vector<placement_candidate> servers{candidate(10, true, true, 1)};
+    BOOST_TEST(!routing::place_read(servers, true));
+    BOOST_TEST(routing::place_read(servers, false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_without_an_idle_connection_is_no_candidate) {
+    const std::vector<placement_candidate> servers{candidate(1, true, false, 0), candidate(90, false)};
+    BOOST_TEST(*routing::place_read(servers, false) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(all_proxies_together_stay_below_a_servers_limit) {
+    for (const std::size_t limit : {16U, 22U, 30U, 98U}) {
+        for (std::size_t proxies = 1; proxies <= limit - routing::connections_kept_back; ++proxies) {
+            BOOST_TEST(proxies * routing::connections_per_proxy(limit, proxies) <=
+                       limit - routing::connections_kept_back);
+        }
+    }
+    BOOST_TEST(routing::connections_per_proxy(16, 100) == 1U);
+    BOOST_TEST(routing::connections_per_proxy(0, 3) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_turn_comes_too_late_is_refused_at_once) {
+    const routing::load_view load{.ahead = 60, .connections = 2, .typical = 10ms};
+    const auto refused = routing::admit(load, 200ms);
+    BOOST_TEST(!refused.admitted);
+    BOOST_TEST((refused.retry_after >= 100ms));
+    const auto admitted = routing::admit(load, 400ms);
+    BOOST_TEST(admitted.admitted);
+    BOOST_TEST((admitted.wait == 400ms));
+}
+
+BOOST_AUTO_TEST_CASE(the_line_is_served_by_priority_and_then_by_time_left) {
+    const boot_clock::time_point start{};
+    waiting late{2, start + 9s};
+    waiting soon{2, start + 1s};
+    waiting first{1, start + 20s};
+    routing::waiting_line<waiting> line;
+    line.join(late);
+    line.join(soon);
+    line.join(first);
+    BOOST_TEST(line.ahead_of(1) == 1U);
+    BOOST_TEST(line.ahead_of(2) == 3U);
+    const auto any = [](const waiting&) { return true; };
+    BOOST_TEST(line.take_first(any) == &first);
+    BOOST_TEST(line.take_first([&](const waiting& item) { return &item == &late; }) == &late);
+    BOOST_TEST(line.take_first(any) == &soon);
+    BOOST_TEST(line.take_first(any) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(replaying_a_session)
+
+BOOST_AUTO_TEST_CASE(what_the_connection_holds_already_is_not_sent) {
+    session::session_state state{.id = 1, .values = {{"a", "1"}, {"b", "2"}}};
+    session::connection_memory memory;
+    BOOST_TEST(session::plan_replay(state, memory, nullptr).size() == 2U);
+    BOOST_TEST(session::plan_replay(state, memory, nullptr).empty());
+    state.values["b"] = "3";
+    BOOST_TEST(session::replay_cost(state, memory) == 1U);
+    BOOST_TEST(session::plan_replay(state, memory, nullptr).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(values_of_another_session_are_cleared_with_its_prepared_statements) {
+    session::session_state first{.id = 1, .values = {{"a", "1"}}};
+    session::session_state second{.id = 2, .values = {{"b", "1"}}};
+    const session::prepared_statement shape{sql::access::read, "q1"};
+    session::connection_memory memory;
+    BOOST_TEST(session::plan_replay(first, memory, &shape).size() == 2U);
+    const auto plan = session::plan_replay(second, memory, &shape);
+    BOOST_TEST_REQUIRE(plan.size() == 3U);
+    BOOST_TEST((plan[0].kind == sql::statement_kind::reset));
+    BOOST_TEST((plan[2].kind == sql::statement_kind::prepare));
+}
+
+// Two callers prepare different statements under one name; the second runs
+// what the first prepared.
+BOOST_AUTO_TEST_CASE(a_prepared_statement_is_named_by_what_it_runs) {
+    const session::prepared_statement reads{sql::access::read, "q1"};
+    const session::prepared_statement writes{sql::access::write, "q1"};
+    BOOST_TEST(session::prepared_name(reads) != session::prepared_name(writes));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(stopping)
+
+BOOST_AUTO_TEST_CASE(sessions_are_closed_once_the_balancer_has_noticed) {
+    const boot_clock::time_point begun{1h};
+    const session::planned_stop stop{begun, 6s};
+    BOOST_TEST(!stop.at(begun + 2s, 5).close_resting);
+    BOOST_TEST(stop.at(begun + 2300ms, 5).close_resting);
+    BOOST_TEST(!stop.at(begun + 2300ms, 0).exit);
+    BOOST_TEST(stop.at(begun + 2500ms, 0).exit);
+    BOOST_TEST(!stop.at(begun + 2900ms, 5).end_transactions);
+    BOOST_TEST(stop.at(begun + 3s, 5).end_transactions);
+    BOOST_TEST(!stop.at(begun + 5s, 5).exit);
+    BOOST_TEST(stop.at(begun + 5200ms, 5).exit);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(settings_of_serve)
+
+BOOST_AUTO_TEST_CASE(every_finding_is_reported_with_its_line) {
+    session::serve_settings out;
+    const auto findings = session::read_serve_settings("[serve]\nname = a\ncallers = nowhere\nname = b\n"
+                                                       "colour = red\ngrace_s = 0\n[other]\nname = c\n",
+                                                       "x.ini", out);
+    std::string all;
+    for (const auto& item : findings) {
+        all += ini::to_string(item) + "\n";
+    }
+    for (const auto* expected : {"x.ini:3: callers must be IP:PORT", "x.ini:4: name is set twice", "x.ini:5: unknown",
+                                 "x.ini:6: grace_s must be", "x.ini:8: unknown", "store is missing"}) {
+        BOOST_TEST(all.find(expected) != std::string::npos, expected << " not in " << all);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/sessions.cpp
@@ -0,0 +1,333 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cornellever/core/daemon.hpp"
+#include "cornellever/session/traffic.hpp"
+#include "fake_caller.hpp"
+#include "fake_link.hpp"
+
+using namespace cornellever;
+using namespace cornellever::test;
+using namespace std::chrono_literals;
+using sql::refusal;
+using sql::statement_kind;
+using sql::transaction_state;
+
+namespace {
+
+/// A proxy in memory before three fake servers.
+struct proxy_in_memory {
+    event_loop io;
+    fake_connector connector;
+    session::traffic<fake_connector> host{io.get_executor(), connector, "here"};
+
+    proxy_in_memory() {
+        connector.servers["p"].leads = true;
+        host.update(three_databases());
+        host.update(three_servers());
+        host.set_proxies(3);
+    }
+
+    fake_server& server(const std::string& id) { return connector.servers[id]; }
+
+    /// Plays the scripts one after the other.
+    void play(std::vector<caller_script*> scripts) {
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                for (auto* script : scripts) {
+                    co_await host.serve(fake_caller{*script});
+                }
+                co_await sleep_for(5ms);
+                io.stop();
+            },
+            asio::detached);
+        io.run();
+        io.restart();
+    }
+
+    ~proxy_in_memory() { io.abandon_pending(); }
+};
+
+refusal why(const caller_script& script, std::size_t answer) {
+    BOOST_TEST_REQUIRE(script.answers.size() > answer);
+    BOOST_TEST_REQUIRE(script.answers[answer].error.has_value());
+    return script.answers[answer].error->why;
+}
+
+bool ok(const caller_script& script, std::size_t answer) {
+    BOOST_TEST_REQUIRE(script.answers.size() > answer);
+    return script.answers[answer].ok();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sessions)
+
+BOOST_AUTO_TEST_CASE(a_database_that_does_not_exist_is_refused_at_the_opening) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("nowhere")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.refusals.size() == 1U);
+    BOOST_TEST((caller.refusals.front().why == refusal::no_such_database));
+    BOOST_TEST(!caller.welcomed);
+}
+
+// A buyer is shown an oven that was sold a second ago. The primary was cut off
+// and another one promoted; the read was sent in one packet behind a BEGIN
+// that the old primary refused, and ran there without any proof of the lead.
+BOOST_AUTO_TEST_CASE(a_read_waits_for_the_proof_that_its_server_leads) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "2")}};
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 0));
+    BOOST_TEST(ok(caller, 1));
+    for (const auto* id : {"a", "b"}) {
+        const auto met = proxy.server("p").of(id);
+        BOOST_TEST_REQUIRE(met.size() == 1U);
+        BOOST_TEST(met.front().in_transaction);
+        for (const auto& item : proxy.server("p").met) {
+            const bool same_packet = item.connection == met.front().connection && item.batch == met.front().batch;
+            if (same_packet && item.kind == statement_kind::begin) {
+                // The BEGIN in the packet of a read stands behind it, for the next one.
+                BOOST_TEST((&item > &proxy.server("p").met.front()));
+            }
+        }
+    }
+}
+
+// As above, but the lead was lost between the proof and the read: the
+// transaction's own check refuses the read, and it runs at the new primary.
+BOOST_AUTO_TEST_CASE(a_read_at_a_server_that_lost_the_lead_runs_at_the_new_primary) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "2")}};
+    caller.before[2] = [&] {
+        proxy.server("p").leads = false;
+        proxy.server("r1").leads = true;
+    };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST(proxy.server("r1").of("b").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_of_some_age_runs_on_a_replica_behind_a_floor) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("own"), ask("w", statement_kind::write, "1 x"), ask("r", statement_kind::read, "1")}};
+    proxy.server("r1").position = {1, 11};
+    proxy.server("r2").position = {1, 11};
+    caller.before[2] = [&] { proxy.host.tick(); };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST(proxy.server("r1").of("r").size() + proxy.server("r2").of("r").size() == 1U);
+}
+
+// A leader awards a badge and does not see it on the next page: the replica
+// that answered had not received the award yet.
+BOOST_AUTO_TEST_CASE(replicas_that_lack_the_sessions_own_commit_are_passed_over) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("own"), ask("w", statement_kind::write, "1 x"), ask("r", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST(caller.answers[1].signature == "sig-r");
+    BOOST_TEST((caller.answers[1].position.value() >= sql::log_position{1, 11}));
+    BOOST_TEST(proxy.server("p").of("r").size() == 1U);
+}
+
+// Two chefs drive out for one oven: the reservation ran, its answer was lost,
+// and the proxy sent it again.
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_not_sent_again) {
+    proxy_in_memory proxy;
+    proxy.server("p").lose_answers = 1;
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 0) == refusal::outcome_unknown));
+    BOOST_TEST(proxy.server("p").of("w").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_refused_before_it_ran_goes_to_the_new_primary) {
+    proxy_in_memory proxy;
+    proxy.server("p").leads = false;
+    proxy.server("r2").leads = true;
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 0));
+    BOOST_TEST(proxy.server("r2").of("w").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_whose_answer_is_lost_runs_on_another_server) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("fresh"), ask("w", statement_kind::read, "0"), ask("a", statement_kind::read, "1")}};
+    caller.before[2] = [&] {
+        proxy.server("r1").lose_answers = 1;
+        proxy.server("r2").lose_answers = 1;
+    };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST(caller.answers[1].signature == "sig-a");
+}
+
+// One caller's reservation commits with another's work: its transaction failed
+// half-way, and its connection was handed on with the transaction open.
+BOOST_AUTO_TEST_CASE(a_transaction_that_fails_is_undone_and_says_so_until_it_is_ended) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), ask("b", statement_kind::begin),
+                                    ask("w", statement_kind::write, "1 x"), ask("v", statement_kind::write, "2 x"),
+                                    ask("r", statement_kind::read, "1"), ask("c", statement_kind::commit),
+                                    ask("z", statement_kind::read, "3")}};
+    caller.before[3] = [&] { proxy.server("p").refuse = 1; };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST((why(caller, 2) == refusal::aborted));
+    BOOST_TEST((caller.answers[2].state == transaction_state::failed));
+    BOOST_TEST((why(caller, 3) == refusal::malformed));
+    BOOST_TEST((why(caller, 4) == refusal::aborted));
+    BOOST_TEST((caller.answers[4].state == transaction_state::idle));
+    BOOST_TEST(ok(caller, 5));
+    BOOST_TEST(proxy.server("p").count(statement_kind::commit) == 0U);
+}
+
+// "Not run" was said of an award that is on the child's record: the commit ran
+// and its answer was lost.
+BOOST_AUTO_TEST_CASE(a_commit_without_an_answer_is_in_doubt_unless_it_wrote_nothing) {
+    proxy_in_memory proxy;
+    caller_script writer{.events = {opening("strict"), ask("b", statement_kind::begin),
+                                    ask("w", statement_kind::write, "1 x"), ask("c", statement_kind::commit)}};
+    writer.before[3] = [&] { proxy.server("p").lose_answers = 1; };
+    caller_script reader{.events = {opening("strict"), ask("b2", statement_kind::begin),
+                                    ask("r", statement_kind::read, "1"), ask("c2", statement_kind::commit)}};
+    reader.before[3] = [&] { proxy.server("p").lose_answers = 1; };
+    proxy.play({&writer, &reader});
+    BOOST_TEST((why(writer, 2) == refusal::outcome_unknown));
+    BOOST_TEST((why(reader, 2) == refusal::aborted));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_in_a_transaction_is_rolled_back) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("b", statement_kind::begin), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    const auto& met = proxy.server("p").met;
+    const auto write = std::ranges::find_if(met, [](const auto& item) { return item.id == "w"; });
+    BOOST_TEST_REQUIRE((write != met.end()));
+    const auto undone = std::find_if(write, met.end(), [&](const auto& item) {
+        return item.kind == statement_kind::rollback && item.connection == write->connection;
+    });
+    BOOST_TEST((undone != met.end()));
+}
+
+// A caller rests inside a transaction, and the connection that it holds is
+// missing to all others.
+BOOST_AUTO_TEST_CASE(a_transaction_that_rests_too_long_is_ended) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), ask("b", statement_kind::begin),
+                                    ask("w", statement_kind::write, "1 x"), session::caller_silent{},
+                                    ask("v", statement_kind::write, "2 x"), ask("c", statement_kind::rollback)}};
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 2) == refusal::malformed));
+    BOOST_TEST(ok(caller, 3));
+    BOOST_TEST(proxy.server("p").of("v").empty());
+}
+
+// A session reads with another caller's settings: its connection had served
+// that caller before.
+BOOST_AUTO_TEST_CASE(a_connection_holds_exactly_the_values_of_the_session_that_uses_it) {
+    proxy_in_memory proxy;
+    proxy.host.set_proxies(1000);
+    caller_script first{.events = {opening("strict"), ask("s1", statement_kind::set, "a1", "alpha"),
+                                   ask("s2", statement_kind::set, "b1", "beta"), ask("r1", statement_kind::read, "1")}};
+    caller_script second{.events = {opening("strict"), ask("s3", statement_kind::set, "a2", "alpha"),
+                                    ask("r2", statement_kind::read, "1")}};
+    proxy.play({&first, &second});
+    const auto mine = proxy.server("p").of("r1");
+    const auto yours = proxy.server("p").of("r2");
+    BOOST_TEST_REQUIRE(mine.size() == 1U);
+    BOOST_TEST_REQUIRE(yours.size() == 1U);
+    BOOST_TEST(mine.front().connection == yours.front().connection);
+    BOOST_TEST(mine.front().values.size() == 2U);
+    BOOST_TEST(yours.front().values.size() == 1U);
+    BOOST_TEST(yours.front().values.at("alpha") == "a2");
+}
+
+// A request is handled by the newer configuration while the transaction that
+// it runs in was opened under the older: the server counts it to the older.
+BOOST_AUTO_TEST_CASE(a_transaction_opened_before_a_configuration_is_not_used_after_it) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "2")}};
+    std::size_t begun_before = 0;
+    caller.before[2] = [&] {
+        proxy.host.update(three_databases(2));
+        begun_before = proxy.server("p").met.size();
+    };
+    proxy.play({&caller});
+    const auto& met = proxy.server("p").met;
+    const auto read = std::ranges::find_if(met, [](const auto& item) { return item.id == "b"; });
+    BOOST_TEST_REQUIRE((read != met.end()));
+    const auto opened =
+        std::find_if(met.begin() + static_cast<std::ptrdiff_t>(begun_before), read, [&](const auto& item) {
+            return item.kind == statement_kind::begin && item.connection == read->connection;
+        });
+    BOOST_TEST((opened != read));
+}
+
+BOOST_AUTO_TEST_CASE(a_database_that_was_removed_is_refused_from_the_next_statement_on) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "2")}};
+    caller.before[2] = [&] {
+        auto config = three_databases(2);
+        config.routes.erase("strict");
+        proxy.host.update(config);
+    };
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 1) == refusal::no_such_database));
+}
+
+BOOST_AUTO_TEST_CASE(an_older_configuration_is_never_taken) {
+    proxy_in_memory proxy;
+    proxy.host.update(three_databases(5));
+    auto older = three_databases(4);
+    older.routes.clear();
+    proxy.host.update(older);
+    BOOST_TEST(proxy.host.config().version == 5U);
+    BOOST_TEST(proxy.host.config().routes.size() == 3U);
+}
+
+// A request gets no answer at a planned stop: it had arrived as its session was
+// closed for resting, ran, and had nobody left to be told to.
+BOOST_AUTO_TEST_CASE(a_stop_answers_what_has_arrived_and_then_closes) {
+    proxy_in_memory proxy;
+    caller_script caller{
+        .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "2")}};
+    caller.before[1] = [&] { proxy.host.close_resting(); };
+    proxy.play({&caller});
+    BOOST_TEST(caller.answers.size() == 2U);
+    BOOST_TEST(caller.closed);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_ends_transactions_with_their_next_statement) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), ask("b", statement_kind::begin),
+                                    ask("w", statement_kind::write, "1 x"), ask("v", statement_kind::write, "2 x")}};
+    caller.before[3] = [&] { proxy.host.end_transactions(); };
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 2) == refusal::aborted));
+}
+
+// A caller waits its whole time although no server can take its request.
+BOOST_AUTO_TEST_CASE(without_any_primary_a_write_is_refused_as_not_run_with_a_time_to_come_back) {
+    proxy_in_memory proxy;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        proxy.server(id).leads = false;
+    }
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 0) == refusal::overloaded));
+    BOOST_TEST(caller.answers[0].error->text.find("retry after") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/wire.cpp
@@ -0,0 +1,215 @@
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <iterator>
+
+#include "cornellever/core/daemon.hpp"
+#include "fake_link.hpp"
+#include "platform/base64.hpp"
+#include "platform/caller_listener.hpp"
+#include "platform/rows.hpp"
+#include "platform/statement_codec.hpp"
+#include "wire_server.hpp"
+
+using namespace cornellever;
+using namespace std::chrono_literals;
+using platform::reply_decoder;
+using sql::statement_kind;
+
+namespace {
+
+template <typename Event>
+const Event& as(const session::caller_event& event) {
+    const auto* found = std::get_if<Event>(&event);
+    BOOST_TEST_REQUIRE((found != nullptr));
+    return *found;
+}
+
+const sql::request decoded(std::string_view line) {
+    return as<sql::request>(platform::decode_caller_line(line));
+}
+
+/// One caller's session over TCP; notes down what was said.
+asio::awaitable<void> talk(tcp::endpoint to, std::vector<std::string> lines, std::string& transcript) {
+    tcp::socket socket{co_await asio::this_coro::executor};
+    co_await socket.async_connect(to, asio::use_awaitable);
+    platform::line_socket peer{std::move(socket)};
+    for (const auto& line : lines) {
+        transcript += "> " + line + "\n";
+        peer.write(line + "\r\n");
+        std::string got;
+        while (!got.starts_with("READY")) {
+            const auto waited = co_await peer.wait_line(boot_clock::now() + 5s);
+            if (waited != platform::line_socket::wait_result::line) {
+                transcript += "< (closed)\n";
+                co_return;
+            }
+            got = *peer.take();
+            transcript += "< " + got + "\n";
+        }
+        // Lets the replicas' connections open and settle, so that each
+        // statement is placed on the same server every time.
+        co_await sleep_for(30ms);
+    }
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file{path};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wire)
+
+BOOST_AUTO_TEST_CASE(statements_are_decoded) {
+    BOOST_TEST(as<session::session_opening>(platform::decode_caller_line("STARTUP stock u1")).database == "stock");
+    BOOST_TEST((decoded("QUERY 7 BEGIN READ").what.kind == statement_kind::begin_read_only));
+    const auto write = decoded("QUERY 7 WRITE 1a4  two  blanks ");
+    BOOST_TEST(write.id == "7");
+    BOOST_TEST(write.what.text == "1a4  two  blanks ");
+    const auto prepare = decoded("QUERY 7 PREPARE s1 WRITE q2c");
+    BOOST_TEST(prepare.what.name == "s1");
+    BOOST_TEST((prepare.what.touches == sql::access::write));
+    BOOST_TEST(decoded("QUERY 7 EXECUTE s1 1a4 x").what.text == "1a4 x");
+    BOOST_TEST(decoded("QUERY 7 EXECUTE s1").what.text.empty());
+}
+
+// A line with a second query inside, or without an id, must not reach a server.
+BOOST_AUTO_TEST_CASE(what_is_no_statement_is_malformed) {
+    for (const auto* line : {"", "QUERY", "QUERY - READ 1", "QUERY 7", "QUERY 7 DROP x", "QUERY 7 READ", "QUERY 7 SET",
+                             "QUERY 7 PREPARE a BOTH q", "QUERY 7 BEGIN WRITE", "QUERY 7 RESET", "QUERY 7 STATUS",
+                             "QUERY 7 STEPDOWN 9", "QUERY 7 AFTER 1.1 READ 1", "HELLO", "STARTUP"}) {
+        (void)as<session::malformed_input>(platform::decode_caller_line(line));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(commands_are_passed_on_unchanged) {
+    for (const auto* text : {"READ 1a4", "WRITE 1a4  x y ", "COMMIT"}) {
+        const auto request = decoded(std::string{"QUERY 5c "} + text);
+        BOOST_TEST(platform::encode_command({request.id, request.what, {}}) ==
+                   std::string{"QUERY 5c "} + text + "\r\n");
+    }
+    const auto read = decoded("QUERY 5c READ 1a4");
+    BOOST_TEST(platform::encode_command({read.id, read.what, sql::log_position{3, 7}}) ==
+               "QUERY 5c AFTER 3.7 READ 1a4\r\n");
+    BOOST_TEST(platform::encode_command(sql::own(statement_kind::begin)) == "QUERY - BEGIN\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_is_taken_line_by_line) {
+    reply_decoder decoder;
+    BOOST_TEST((decoder.take("ROW a b") == reply_decoder::step::more));
+    BOOST_TEST((decoder.take("COMPLETE 7.1") == reply_decoder::step::more));
+    BOOST_TEST((decoder.take("READY T 3.9") == reply_decoder::step::done));
+    const auto reply = decoder.finish();
+    BOOST_TEST(reply.rows.front() == "a b");
+    BOOST_TEST(reply.signature == "7.1");
+    BOOST_TEST((reply.state == sql::transaction_state::open));
+    BOOST_TEST((reply.position == sql::log_position{3, 9}));
+    BOOST_TEST(platform::encode_reply(reply) == "ROW a b\r\nCOMPLETE 7.1\r\nREADY T 3.9\r\n");
+}
+
+// A caller gets rows without the end of them: the answer was cut off, and the
+// READY of the next statement was taken for its end.
+BOOST_AUTO_TEST_CASE(an_answer_that_was_cut_off_is_none) {
+    for (const std::vector<const char*>& lines :
+         {std::vector{"ROW a", "READY I 1.1"}, std::vector{"READY I 1.1"}, std::vector{"COMPLETE 1", "COMPLETE 2"},
+          std::vector{"COMPLETE 1", "ROW a"}, std::vector{"COMPLETE 1", "READY X 1.1"}, std::vector{"GARBAGE"}}) {
+        reply_decoder decoder;
+        auto last = reply_decoder::step::more;
+        for (const auto* line : lines) {
+            last = decoder.take(line);
+        }
+        BOOST_TEST((last == reply_decoder::step::garbled));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_servers_report_is_decoded) {
+    const auto status = platform::decode_status("replica 3 3.1209 0 12 2 17");
+    BOOST_TEST_REQUIRE(status.has_value());
+    BOOST_TEST(!status->leads);
+    BOOST_TEST((status->received == sql::log_position{3, 1209}));
+    BOOST_TEST(!platform::decode_status("replica three"));
+    BOOST_TEST(!platform::parse_position("3"));
+    BOOST_TEST(!platform::parse_position("3.x"));
+}
+
+BOOST_AUTO_TEST_CASE(base64_goes_there_and_back) {
+    for (const auto* text : {"", "a", "ab", "abc", "node-1"}) {
+        BOOST_TEST(platform::decode_base64(platform::encode_base64(text)).value() == text);
+    }
+    BOOST_TEST(platform::encode_base64("node-1") == "bm9kZS0x");
+    BOOST_TEST(!platform::decode_base64("!!"));
+}
+
+BOOST_AUTO_TEST_CASE(rows_become_the_products_types) {
+    const auto config = platform::decode_configuration(
+        R"({"Version":7,"Routes":[{"Host":"db","Kind":"bounded_staleness","TimeoutMs":800,"TargetLatencyMs":200,
+            "Priority":2,"Service":"s","MaxStalenessMs":2500}],
+            "Services":[{"Name":"s","MaxConnections":16,"SyncReplicas":0}],"Limits":{"TxIdleMs":3000}})");
+    BOOST_TEST_REQUIRE(config.has_value());
+    BOOST_TEST((config->routes.at("db").max_staleness == 2500ms));
+    BOOST_TEST(config->services.at("s").max_connections == 16U);
+    BOOST_TEST((config->transaction_idle == 3000ms));
+    for (const auto* text : {"", "[]", "{}", R"({"Version":1,"Routes":[3]})", R"({"Version":1,"Routes":[{}]})",
+                             R"({"Version":"x","Routes":[]})"}) {
+        BOOST_TEST(!platform::decode_configuration(text), text);
+    }
+    const auto server = platform::decode_server(
+        "i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":2,"State":"draining","DbRole":"primary"})");
+    BOOST_TEST_REQUIRE(server.has_value());
+    BOOST_TEST(server->draining);
+    BOOST_TEST((server->role == routing::server_role::primary));
+    BOOST_TEST(!platform::decode_server("i-1", "{}"));
+}
+
+// The whole path over TCP: a session of every kind of statement against
+// servers on loopback, compared line by line.
+BOOST_AUTO_TEST_CASE(a_whole_session_is_as_it_was) {
+    event_loop io;
+    test::wire_server primary{io, "stock", "p", true};
+    test::wire_server replica{io, "stock", "r1", false};
+    auto servers = test::three_servers();
+    servers.servers.erase("r2");
+    servers.servers["p"].address = primary.address();
+    servers.servers["r1"].address = replica.address();
+    platform::backend_connector connector{io.get_executor(), "proxy"};
+    platform::traffic host{io.get_executor(), connector, "here"};
+    host.update(test::three_databases());
+    host.update(servers);
+    host.set_proxies(1000);
+    platform::caller_listener callers{io.get_executor(), host};
+    const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 37311};
+    BOOST_TEST_REQUIRE(callers.start(here).has_value());
+    std::string transcript;
+    const std::vector<std::string> strict{
+        "STARTUP strict u1",       "QUERY 1 SET lang fj",     "QUERY 2 READ oven",        "QUERY 3 BEGIN",
+        "QUERY 4 READ oven",       "QUERY 5 WRITE oven sold", "QUERY 6 COMMIT",           "QUERY 7 PREPARE s1 READ q1",
+        "QUERY 8 EXECUTE s1 oven", "QUERY 9 BEGIN",           "QUERY 10 WRITE oven free", "QUERY 11 ROLLBACK",
+        "QUERY 12 NONSENSE",       "QUERY 13 COMMIT",         "QUERY 14 EXECUTE s9 oven"};
+    const std::vector<std::string> fresh{"STARTUP fresh u2", "QUERY 20 READ oven", "QUERY 21 BEGIN READ",
+                                         "QUERY 22 READ fryer", "QUERY 23 COMMIT"};
+    const std::vector<std::string> none{"STARTUP nowhere u3"};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await talk(here, strict, transcript);
+            host.tick();
+            co_await sleep_for(30ms);
+            co_await talk(here, fresh, transcript);
+            co_await talk(here, none, transcript);
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    io.abandon_pending();
+    for (const auto* server : {&primary, &replica}) {
+        for (const auto& line : server->callers_lines) {
+            transcript += "server " + line + "\n";
+        }
+    }
+    const std::string golden = CORNELLEVER_SOURCE_DIR "/tests/golden/statement-session.txt";
+    BOOST_TEST(transcript == read_file(golden), "got\n" << transcript << "\nexpected the text of " << golden);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
