Logs off the traffic path and bounded, request lines, metrics page, state dump

Cause: a reader that stops would have blocked the proxy in std::cout; served requests left no line; the metrics address served nothing.

Change: log_queue bounds lines per event and second and in all, a thread of its own writes; request.served says where a statement ran and by what floor; metrics/exposition; dump on the peers' address.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -32,6 +35,13 @@
     std::vector<asio::ip::udp::endpoint> seeds;
 };
 
+/// What the control side has done, readable from any thread.
+struct control_counts {
+    std::atomic<std::uint64_t> promoted{0};
+    std::atomic<std::uint64_t> given_up{0};
+    std::atomic<std::uint64_t> proxies{0};
+};
+
 /// The control side of a proxy, on a thread of its own: knows the other
 /// proxies, tells the traffic side of configuration, servers and what peers
 /// saw, and replaces primaries.
@@ -63,6 +73,11 @@
     /// Whether the store answers this proxy at present.
     void set_store_reachable(std::function<bool()> reachable) { m_store_reachable = std::move(reachable); }
 
+    /// Adds the traffic side to what `dump` tells; called on its thread.
+    void add_dump(std::function<Json::Value()> traffic) { m_dump_traffic = std::move(traffic); }
+
+    [[nodiscard]] const control_counts& counts() const noexcept { return m_counts; }
+
     /// Tells the peers that this proxy leaves by plan.
     asio::awaitable<void> leave();
 
@@ -82,6 +97,7 @@
         time_point sent_at;
     };
 
+    asio::awaitable<result<Json::Value>> dump();
     asio::awaitable<void> receive();
     asio::awaitable<void> tick();
     asio::awaitable<void> register_self();
@@ -134,6 +150,8 @@
     std::map<std::string, watch, std::less<>> m_watched;
     std::map<std::uint64_t, asked> m_questions;
     std::uint64_t m_last_nonce{0};
+    control_counts m_counts;
+    std::function<Json::Value()> m_dump_traffic{[] { return Json::Value{}; }};
     std::function<bool()> m_store_reachable{[] { return true; }};
     time_point m_started{boot_clock::now()};
     time_point m_last_heartbeat{};
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -13,6 +13,7 @@
     m_rpc.on("snapshot", [this](const Json::Value&, rpc::connection&) -> asio::awaitable<result<Json::Value>> {
         co_return to_json(m_config, m_registry.effective());
     });
+    m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
         return std::unexpected{bound.error()};
     }
@@ -24,6 +25,30 @@
     return {};
 }
 
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<result<Json::Value>> control<Store, Orders, Connector>::dump() {
+    const auto now = boot_clock::now();
+    Json::Value out = co_await m_bridge.describe(m_dump_traffic);
+    out["role"] = "serve";
+    out["name"] = m_settings.name;
+    out["incarnation"] = static_cast<Json::UInt64>(m_settings.incarnation);
+    out["store_reachable"] = m_store_reachable();
+    out["leaving"] = m_leaving;
+    for (const auto& [name, item] : m_members.peers()) {
+        auto& peer = out["peers"][name];
+        peer["alive"] = membership::is_alive(item, now);
+        peer["heard_ms"] = static_cast<Json::Int64>(to_ms(now - item.heard_at));
+        peer["store_reachable"] = item.store_reachable;
+        peer["config_version"] = static_cast<Json::UInt64>(item.config_version);
+    }
+    for (const auto& [service, at] : m_watched) {
+        out["watched"][service]["primary"] = at.primary;
+        out["watched"][service]["verdict"] = std::string{to_string(at.verdict)};
+        out["watched"][service]["replacing"] = at.replacing;
+    }
+    co_return out;
+}
+
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::take(routing::configuration config) {
     if (config.version <= m_config.version) {
@@ -274,6 +299,7 @@
     const auto count = unknown ? many_proxies : m_members.counted();
     if (count != m_counted) {
         m_counted = count;
+        m_counts.proxies = m_members.counted();
         m_bridge.set_proxies(count);
     }
 }
@@ -403,6 +429,7 @@
     log_event(event::failover_started, "service=" + service + " old=" + old);
     const auto ended = co_await m_promotion.run(service, old);
     const bool done = ended.state == "done";
+    ++(done ? m_counts.promoted : m_counts.given_up);
     log_event(done ? event::failover_done : event::failover_given_up,
               "service=" + service + " old=" + old + " successor=" + ended.successor + " event=" + ended.event);
     auto& at = m_watched[service];
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <jsoncpp/json/value.h>
+
 #include "cornellever/cluster/successor.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/boot_clock.hpp"
@@ -60,6 +63,11 @@
         return asio::co_spawn(m_executor, collect(), asio::use_awaitable);
     }
 
+    /// Runs `tell` on the traffic thread.
+    asio::awaitable<Json::Value> describe(std::function<Json::Value()> tell) {
+        return asio::co_spawn(m_executor, run(std::move(tell)), asio::use_awaitable);
+    }
+
     asio::awaitable<std::vector<replica_report>> survey(std::string service, std::string old) {
         return asio::co_spawn(m_executor, ask_all(std::move(service), std::move(old)), asio::use_awaitable);
     }
@@ -85,6 +93,8 @@
     static constexpr std::chrono::milliseconds survey_limit{450};
     static constexpr std::chrono::milliseconds probe_period{50};
 
+    static asio::awaitable<Json::Value> run(std::function<Json::Value()> tell) { co_return tell(); }
+
     void take_one(const peer_sight& seen) {
         const auto found = m_host.pools().find(seen.service);
         if (found == m_host.pools().end()) {
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -47,6 +47,7 @@
     statement_retried = 1311,
     outcome_unknown = 1312,
     transaction_failed = 1313,
+    request_served = 1314,
     lines_dropped = 1320,
     backend_write = 1401,
     backend_shipped = 1402,
--- a/src/cornellever/core/log.cpp
+++ b/src/cornellever/core/log.cpp
@@ -1,10 +1,15 @@
 #include "cornellever/core/log.hpp"
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <string>
+#include <thread>
 
 #include <easylogging++.h>
 
+#include "cornellever/core/log_queue.hpp"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace cornellever {
@@ -47,14 +52,10 @@
     return true;
 }
 
-void log_event(event id, std::string_view fields) {
-    const auto& info = describe(id);
-    if (info.level < g_minimum.load()) {
-        return;
-    }
-    const auto line = "CL" + std::to_string(static_cast<unsigned>(id)) + " " + std::string{info.name} +
-                      (fields.empty() ? "" : " ") + std::string{fields};
-    switch (info.level) {
+namespace {
+
+void write(severity level, const std::string& line) {
+    switch (level) {
     case severity::debug:
         LOG(DEBUG) << line;
         break;
@@ -70,4 +71,110 @@
     }
 }
 
+/// Writes lines on a thread of its own: a reader of standard output that
+/// stops reading blocks this thread and no other.
+class background_writer {
+public:
+    void start() {
+        m_running = true;
+        m_thread = std::thread{[this] { run(); }};
+    }
+
+    [[nodiscard]] bool running() const noexcept { return m_running; }
+
+    void push(event id, severity level, std::string line) {
+        {
+            const std::scoped_lock lock{m_mutex};
+            m_queue.push(id, level, std::move(line), std::chrono::steady_clock::now());
+        }
+        m_wake.notify_one();
+    }
+
+    /// Writes what waits, but not longer than `limit`.
+    void stop(std::chrono::milliseconds limit) {
+        std::unique_lock lock{m_mutex};
+        m_stopping = true;
+        m_wake.notify_one();
+        const bool done = m_done.wait_for(lock, limit, [this] { return m_finished; });
+        lock.unlock();
+        if (done) {
+            m_thread.join();
+        } else {
+            m_thread.detach();
+        }
+        m_running = false;
+    }
+
+    [[nodiscard]] std::uint64_t dropped() {
+        const std::scoped_lock lock{m_mutex};
+        return m_queue.dropped();
+    }
+
+private:
+    void run() {
+        std::unique_lock lock{m_mutex};
+        for (;;) {
+            m_wake.wait(lock, [this] { return !m_queue.empty() || m_stopping; });
+            const auto next = m_queue.pop();
+            if (!next) {
+                m_finished = true;
+                m_done.notify_one();
+                return;
+            }
+            lock.unlock();
+            write(next->level, next->text);
+            lock.lock();
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::condition_variable m_done;
+    log_queue m_queue;
+    std::thread m_thread;
+    std::atomic<bool> m_running{false};
+    bool m_stopping{false};
+    bool m_finished{false};
+};
+
+/// Never destroyed: a writer that hangs on standard output outlives `main`.
+background_writer& writer() {
+    static auto* const instance = new background_writer;
+    return *instance;
+}
+
+} // namespace
+
+void start_background_log() {
+    writer().start();
+}
+
+void stop_background_log(std::chrono::milliseconds limit) {
+    if (writer().running()) {
+        writer().stop(limit);
+    }
+}
+
+std::uint64_t log_lines_dropped() {
+    return writer().dropped();
+}
+
+bool logs(severity level) noexcept {
+    return level >= g_minimum.load();
+}
+
+void log_event(event id, std::string_view fields) {
+    const auto& info = describe(id);
+    if (!logs(info.level)) {
+        return;
+    }
+    auto line = "CL" + std::to_string(static_cast<unsigned>(id)) + " " + std::string{info.name} +
+                (fields.empty() ? "" : " ") + std::string{fields};
+    if (writer().running()) {
+        writer().push(id, info.level, std::move(line));
+    } else {
+        write(info.level, line);
+    }
+}
+
 } // namespace cornellever
--- /dev/null
+++ b/src/cornellever/session/describe.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <jsoncpp/json/value.h>
+
+#include "cornellever/metrics/exposition.hpp"
+#include "cornellever/session/traffic.hpp"
+
+namespace cornellever::session {
+
+/// The traffic side's state, for a dump on request.
+template <routing::link_connector Connector>
+[[nodiscard]] Json::Value describe(traffic<Connector>& host) {
+    const auto now = boot_clock::now();
+    Json::Value out;
+    out["config_version"] = static_cast<Json::UInt64>(host.config().version);
+    out["registry_version"] = static_cast<Json::UInt64>(host.servers().version);
+    out["sessions"] = static_cast<Json::UInt64>(host.sessions());
+    out["served"] = host.counters().served_in.describe();
+    out["waited_for_connection"] = host.counters().waited_for_connection.describe();
+    for (const auto& [name, backends] : host.pools()) {
+        auto& pool = out["services"][name];
+        pool["primary"] = backends->primary();
+        pool["primary_confirmed_ms"] = static_cast<Json::Int64>(to_ms(now - backends->sight().confirmed_at));
+        pool["waiting"] = static_cast<Json::UInt64>(backends->waiting());
+        if (const auto* newest = backends->floor().newest()) {
+            pool["sample"] = sql::to_string(newest->position);
+            pool["sample_ms"] = static_cast<Json::Int64>(to_ms(now - newest->asked_at));
+        }
+        for (const auto& [id, at] : backends->entries()) {
+            auto& server = pool["servers"][id];
+            server["data_center"] = at->server.data_center;
+            server["connections"] = static_cast<Json::UInt64>(at->slots.size());
+            server["idle"] = static_cast<Json::UInt64>(at->idle());
+            server["in_flight"] = static_cast<Json::UInt64>(at->in_flight);
+            server["typical_ms"] = at->typical.value(now);
+            server["draining"] = at->server.draining;
+            server["unreachable"] = at->unreachable();
+            server["heard_ms"] = static_cast<Json::Int64>(to_ms(now - at->heard_at));
+        }
+    }
+    return out;
+}
+
+/// The traffic side's counters and latencies.
+template <routing::link_connector Connector>
+void expose(traffic<Connector>& host, metrics::exposition& into) {
+    const auto now = boot_clock::now();
+    const auto& counted = host.counters();
+    into.counter("cornellever_sessions_total", "Sessions opened.", counted.sessions_opened);
+    into.gauge("cornellever_sessions_open", "Sessions open now.", static_cast<double>(host.sessions()));
+    into.counter("cornellever_statements_served_total", "Statements answered with success.", counted.statements_served);
+    into.counter("cornellever_statements_retried_total", "Statements sent to a server once more.",
+                 counted.statements_retried);
+    into.counter("cornellever_reads_total", "Reads outside transactions, by the role of the server.",
+                 counted.reads_on_replicas, {{"role", "replica"}});
+    into.counter("cornellever_reads_total", "", counted.reads_on_primary, {{"role", "primary"}});
+    into.counter("cornellever_transactions_total", "Transactions opened by callers.", counted.transactions_opened);
+    into.counter("cornellever_transactions_undone_total", "Transactions rolled back.", counted.transactions_undone);
+    for (std::size_t i = 0; i < traffic_counters::refusals; ++i) {
+        into.counter("cornellever_refused_total", i == 0 ? "Statements answered with an error, by cause." : "",
+                     counted.refused.at(i), {{"cause", std::string{sql::to_string(static_cast<sql::refusal>(i))}}});
+    }
+    into.summary("cornellever_served_microseconds", "From a statement's arrival to its answer.", counted.served_in);
+    into.summary("cornellever_connection_wait_microseconds", "Waiting for a connection to a server.",
+                 counted.waited_for_connection);
+    into.gauge("cornellever_config_version", "Version of the configuration in force.",
+               static_cast<double>(host.config().version));
+    for (const auto& [name, backends] : host.pools()) {
+        const auto* newest = backends->floor().newest();
+        into.gauge("cornellever_waiting", "Statements waiting for a connection.",
+                   static_cast<double>(backends->waiting()), {{"service", name}});
+        into.gauge("cornellever_sample_age_milliseconds", "Age of the newest freshness sample; -1 without one.",
+                   newest == nullptr ? -1.0 : static_cast<double>(to_ms(now - newest->asked_at)), {{"service", name}});
+        for (const auto& [id, at] : backends->entries()) {
+            const metrics::labels of{{"service", name}, {"server", id}};
+            into.gauge("cornellever_connections", "Connections to a server.", static_cast<double>(at->slots.size()),
+                       of);
+            into.gauge("cornellever_connections_idle", "Those not in use.", static_cast<double>(at->idle()), of);
+            into.gauge("cornellever_server_typical_milliseconds", "Moving average of a statement's time at a server.",
+                       at->typical.value(now), of);
+            into.gauge("cornellever_server_primary", "1 for the server taken for the primary.",
+                       id == backends->primary() ? 1.0 : 0.0, of);
+        }
+    }
+}
+
+} // namespace cornellever::session
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -88,6 +88,8 @@
     [[nodiscard]] static sql::command command_of(const statement_run& run);
     [[nodiscard]] routing::connection_want want_of(const pool& backends, const statement_run& run,
                                                    bool needs_primary) const;
+    void log_served(pool& backends, const lease& held, const statement_run& run,
+                    const std::optional<sql::log_position>& floor) const;
     void log_decision(event id, const statement_run& run, std::string_view server, std::string_view reason) const;
 
     /// A read without an answer for so long is run again elsewhere: twice what
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -50,6 +50,23 @@
     return std::nullopt;
 }
 
+template <routing::link_connector Connector>
+void statement_engine<Connector>::log_served(pool& backends, const lease& held, const statement_run& run,
+                                             const std::optional<sql::log_position>& floor) const {
+    if (!logs(severity::info)) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto* newest = backends.floor().newest();
+    log_event(event::request_served,
+              "request=" + run.request.id + " database=" + run.route.database + " server=" + held.server().id +
+                  " floor=" + (floor ? sql::to_string(*floor) : "lead") +
+                  " sample_ms=" + (newest == nullptr ? "-" : std::to_string(to_ms(now - newest->asked_at))) +
+                  " in_flight=" + std::to_string(held->home->in_flight) + " waiting=" +
+                  std::to_string(backends.waiting()) + " ran_ms=" + std::to_string(to_ms(now - held->sent_at)) +
+                  " age_ms=" + std::to_string(to_ms(now - run.arrival)));
+}
+
 /// A connection, or the refusal to answer with.
 template <routing::link_connector Connector>
 asio::awaitable<std::optional<typename statement_engine<Connector>::lease>>
@@ -168,6 +185,9 @@
         auto got = co_await exchange(backends, *held, std::move(batch), wanted, until);
         const auto what = run.writes() ? judge_write(backends, *held, run, got, out)
                                        : judge_read(backends, *held, run, want, got, out);
+        if (what == verdict::answered && out.ok()) {
+            log_served(backends, *held, run, want.primary ? std::nullopt : want.floor);
+        }
         held->release();
         if (what == verdict::answered) {
             break;
@@ -358,6 +378,7 @@
     auto& at = *held->home;
     sql::reply out;
     if (got && got->ok()) {
+        log_served(*inside.backends, held, run, std::nullopt);
         out = *got;
         if (inside.wrote && got->position) {
             run.session.last_commit = got->position;
@@ -420,6 +441,7 @@
         }
         co_return fail_inside(inside, run, sql::to_string(got->error->why));
     }
+    log_served(*inside.backends, held, run, std::nullopt);
     auto out = *got;
     out.state = sql::transaction_state::open;
     co_return out;
