--- a/src/cornellever/routing/admission.cpp
+++ b/src/cornellever/routing/admission.cpp
@@ -9,16 +9,46 @@
 /// The soonest that asking again makes sense: a few statements' time.
 constexpr std::chrono::milliseconds shortest_retry{30};
 
-} // namespace
+/// Left to run a statement once the new primary leads: its slots are taken by
+/// all that waited.
+constexpr std::chrono::milliseconds primary_room_to_run{100};
+
+/// A promotion takes 1.2 s from the order; half of it on average.
+constexpr std::chrono::milliseconds without_primary_retry{300};
 
-admission_decision admit(const load_view& load, std::chrono::milliseconds patience) {
+/// Kept for running the statement, in times that the usual one takes.
+constexpr double room_to_run = 2.0;
+
+std::chrono::milliseconds in_ms(std::chrono::duration<double, std::milli> span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
+std::chrono::milliseconds expected_wait(const load_view& load) {
     const auto lanes = static_cast<double>(std::max<std::size_t>(1, load.connections));
-    const auto expected = load.typical * static_cast<double>(load.ahead) / lanes;
-    const auto expected_ms = std::chrono::duration_cast<std::chrono::milliseconds>(expected);
-    if (expected > patience) {
-        return {.retry_after = std::max(shortest_retry, expected_ms - patience)};
+    return in_ms(load.typical * static_cast<double>(load.ahead) / lanes);
+}
+
+} // namespace
+
+admission_decision admit(const load_view& load, const time_limits& limits) {
+    const auto expected = expected_wait(load);
+    const auto patience = std::min(limits.left, limits.target) - in_ms(load.typical * room_to_run);
+    if (patience.count() <= 0 || expected > patience) {
+        return {.retry_after = std::max(shortest_retry, expected)};
     }
-    return {.admitted = true, .wait = patience, .retry_after = std::max(shortest_retry, expected_ms)};
+    return {.admitted = true, .wait = patience, .retry_after = std::max(shortest_retry, expected)};
+}
+
+admission_decision admit_without_primary(const time_limits& limits) {
+    const auto patience = limits.left - primary_room_to_run;
+    if (patience.count() <= 0) {
+        return {.retry_after = without_primary_retry};
+    }
+    return {.admitted = true, .wait = patience, .retry_after = without_primary_retry};
+}
+
+bool worth_starting(const load_view& load, std::chrono::milliseconds left) {
+    return left > in_ms(load.typical);
 }
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/admission.hpp
+++ b/src/cornellever/routing/admission.hpp
@@ -16,6 +16,14 @@
     std::chrono::duration<double, std::milli> typical{10.0};
 };
 
+/// What bounds a request's wait.
+struct time_limits {
+    /// Until its statement's timeout.
+    std::chrono::milliseconds left{0};
+    /// What its caller aims at for the whole operation.
+    std::chrono::milliseconds target{0};
+};
+
 /// How long a request may wait for a connection, or when it should come back.
 struct admission_decision {
     bool admitted{false};
@@ -23,9 +31,20 @@
     std::chrono::milliseconds retry_after{0};
 };
 
-/// Decides by the wait that the requests ahead make likely. A request whose
-/// turn can't come within `patience` is refused at once, so that its caller
-/// can use the time left elsewhere.
-[[nodiscard]] admission_decision admit(const load_view& load, std::chrono::milliseconds patience);
+/// Decides for a request while servers work. Under more load than they can
+/// take, a long line makes every answer late: requests are admitted as long as
+/// their turn is likely to come within the latency that their callers aim at,
+/// and refused at once otherwise, so that the caller can use the time left.
+[[nodiscard]] admission_decision admit(const load_view& load, const time_limits& limits);
+
+/// Decides for a request that needs the primary while a service has none.
+/// Another one leads soon, and the request may wait for it as long as there is
+/// time to run it afterwards.
+[[nodiscard]] admission_decision admit_without_primary(const time_limits& limits);
+
+/// Whether a request that got its turn still has the time to run: one that is
+/// begun too late ends by its timeout, its answer is thrown away and its
+/// connection with it.
+[[nodiscard]] bool worth_starting(const load_view& load, std::chrono::milliseconds left);
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -182,6 +182,21 @@
     /// statement: what a waiting request has before it.
     [[nodiscard]] std::size_t connections(bool primary_only) const;
 
+    /// How long a statement takes at the primary, or at the servers on average.
+    [[nodiscard]] std::chrono::duration<double, std::milli> typical(bool primary_only) const;
+
+    /// Whether the primary is known and answered when last tried.
+    [[nodiscard]] bool primary_answers() const {
+        const auto found = m_entries.find(m_primary);
+        return found != m_entries.end() && !found->second->unreachable();
+    }
+
+    /// Has the primary asked for its position soon.
+    void want_sample() {
+        m_used = true;
+        tick();
+    }
+
     /// Asks one server whether it leads, over an idle or a new connection.
     asio::awaitable<void> probe(std::string id);
 
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -470,6 +470,20 @@
     return out;
 }
 
+template <link_connector Connector>
+std::chrono::duration<double, std::milli> service_pool<Connector>::typical(bool primary_only) const {
+    const auto now = boot_clock::now();
+    double sum = 0.0;
+    double count = 0.0;
+    for (const auto& [id, at] : m_entries) {
+        if ((!primary_only || id == m_primary) && !at->slots.empty()) {
+            sum += at->typical.value(now);
+            count += 1.0;
+        }
+    }
+    return std::chrono::duration<double, std::milli>{count == 0.0 ? 0.0 : sum / count};
+}
+
 template <link_connector Connector>
 std::size_t service_pool<Connector>::connections(bool primary_only) const {
     std::size_t count = 0;
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -67,6 +67,8 @@
 private:
     enum class verdict { answered, again };
 
+    [[nodiscard]] static routing::load_view load_of(const pool& backends, const statement_run& run, bool primary);
+    asio::awaitable<void> await_sample(pool& backends, const statement_run& run, bool needs_primary);
     [[nodiscard]] std::optional<sql::reply> admit(pool& backends, const statement_run& run, bool primary,
                                                   time_point& wait_until);
     asio::awaitable<std::optional<lease>> connection_for(pool& backends, const statement_run& run,
@@ -96,6 +98,10 @@
     /// the slowest ordinary one takes (110 ms of work behind a short queue).
     static constexpr std::chrono::milliseconds read_try_limit{400};
 
+    /// A new connection (30 ms) and a round trip, or a peer's answer.
+    static constexpr std::chrono::milliseconds sample_wait{120};
+    static constexpr std::chrono::milliseconds sample_poll{10};
+
     traffic_counters& m_counters;
 };
 
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -35,15 +35,39 @@
     return out;
 }
 
+template <routing::link_connector Connector>
+routing::load_view statement_engine<Connector>::load_of(const pool& backends, const statement_run& run, bool primary) {
+    return {.ahead = backends.waiting_ahead(run.route.priority),
+            .connections = backends.connections(primary),
+            .typical = backends.typical(primary)};
+}
+
+/// A proxy that has just started knows no position of the primary. One costs
+/// no slot and a round trip; if all reads went to the primary meanwhile, its
+/// slots would be taken for seconds, by many proxies at once after an outage.
+template <routing::link_connector Connector>
+asio::awaitable<void> statement_engine<Connector>::await_sample(pool& backends, const statement_run& run,
+                                                                bool needs_primary) {
+    if (needs_primary || run.route.reads == routing::consistency::primary) {
+        co_return;
+    }
+    const auto until = boot_clock::now() + std::min(sample_wait, run.route.target_latency);
+    while (!backends.floor().floor(run.arrival, run.route.max_staleness, std::nullopt) && boot_clock::now() < until) {
+        backends.want_sample();
+        co_await sleep_for(sample_poll);
+    }
+}
+
 template <routing::link_connector Connector>
 std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run, bool primary,
                                                              time_point& wait_until) {
     const auto now = boot_clock::now();
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - now);
-    const routing::load_view load{.ahead = backends.waiting_ahead(run.route.priority),
-                                  .connections = backends.connections(primary)};
-    const auto decision = routing::admit(load, std::max(left, std::chrono::milliseconds{0}));
-    if (!decision.admitted || left.count() <= 0) {
+    const routing::time_limits limits{std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - now),
+                                      run.route.target_latency};
+    const auto decision = primary && !backends.primary_answers()
+                              ? routing::admit_without_primary(limits)
+                              : routing::admit(load_of(backends, run, primary), limits);
+    if (!decision.admitted) {
         return refused_for_now("no connection free in time", decision.retry_after);
     }
     wait_until = now + decision.wait;
@@ -82,6 +106,13 @@
     if (!held) {
         refusal = refused_for_now(want.primary && backends.primary().empty() ? "no primary" : "no connection in time",
                                   std::chrono::milliseconds{100});
+        co_return std::nullopt;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - boot_clock::now());
+    if (!routing::worth_starting(load_of(backends, run, want.primary), left)) {
+        held->release();
+        refusal = refused_for_now("too late to run", std::chrono::milliseconds{100});
+        co_return std::nullopt;
     }
     co_return held;
 }
@@ -164,6 +195,7 @@
 
 template <routing::link_connector Connector>
 asio::awaitable<sql::reply> statement_engine<Connector>::run_alone(pool& backends, const statement_run& run) {
+    co_await await_sample(backends, run, run.writes());
     auto want = want_of(backends, run, run.writes());
     sql::reply out;
     for (;;) {
@@ -332,6 +364,7 @@
 asio::awaitable<bool> statement_engine<Connector>::pin(transaction& inside, const statement_run& run,
                                                        sql::reply& refusal) {
     auto& backends = *inside.backends;
+    co_await await_sample(backends, run, !inside.read_only);
     auto want = want_of(backends, run, !inside.read_only);
     for (;;) {
         auto held = co_await connection_for(backends, run, want, refusal);
