A planned stop closes sessions behind their answers; farewells at the end; a returned store shows at once

Its peers took a leaving proxy back as its heartbeats went on.

Ruled out: requests read and not answered (none).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -78,8 +78,12 @@
 
     [[nodiscard]] const control_counts& counts() const noexcept { return m_counts; }
 
-    /// Tells the peers that this proxy leaves by plan.
-    asio::awaitable<void> leave();
+    /// This proxy stops by plan: it replaces no primary any more, and those
+    /// that start from now on do not learn of it.
+    asio::awaitable<void> prepare_to_leave();
+
+    /// Its connections are closed; the others may use what was its share.
+    void farewell();
 
 private:
     /// What was last known of a service's primary.
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -104,12 +104,20 @@
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-asio::awaitable<void> control<Store, Orders, Connector>::leave() {
+asio::awaitable<void> control<Store, Orders, Connector>::prepare_to_leave() {
     m_leaving = true;
+    const auto removed = co_await m_store.remove("proxies", m_settings.name);
+    if (!removed) {
+        // The others drop a silent proxy by themselves after a while.
+        log_event(event::store_lost, "table=proxies reason=\"" + removed.error().message + "\"");
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::farewell() {
     for (const auto& [name, item] : m_members.peers()) {
         send(message_now(peer_message::kind::farewell), item.address);
     }
-    (void)co_await m_store.remove("proxies", m_settings.name);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -64,7 +64,9 @@
         if (!m_whole) {
             return m_store.list(m_table);
         }
-        return m_store.changes(m_table, m_version, m_wait);
+        // After a failure the store is asked for an answer at once: the wait for
+        // a change would keep its return unknown for as long.
+        return m_store.changes(m_table, m_version, m_failures > 0 ? std::chrono::milliseconds{0} : m_wait);
     }
 
     void take(store_rows got) {
--- a/src/cornellever/session/planned_stop.hpp
+++ b/src/cornellever/session/planned_stop.hpp
@@ -10,7 +10,10 @@
 
 /// What a stopping proxy does at a moment.
 struct stop_actions {
-    /// Sessions that rest are closed, and others as they come to rest.
+    /// A session is closed right behind an answer, with which its caller was
+    /// waited for: no request of it can be on its way.
+    bool close_answered{false};
+    /// Sessions that rest are closed, although a request may just be on its way.
     bool close_resting{false};
     /// Transactions still open are undone with their next statement.
     bool end_transactions{false};
@@ -20,7 +23,8 @@
 
 /// The course of a planned stop, which cuts no request: the balancer is told
 /// first and given time to notice, because it sends new connections until
-/// then; sessions are closed only while their callers wait for nothing; open
+/// then; sessions are closed behind an answer where possible, and only while
+/// their callers wait for nothing; open
 /// transactions get the first half of the grace period.
 class planned_stop {
 public:
@@ -31,7 +35,8 @@
     [[nodiscard]] stop_actions at(boot_clock::time_point now, std::size_t sessions) const {
         const auto since = now - m_begun;
         const auto noticed = std::min<boot_clock::duration>(balancer_notices, m_grace * 2 / 5);
-        return {.close_resting = since >= noticed,
+        return {.close_answered = since >= noticed,
+                .close_resting = since >= noticed + std::min<boot_clock::duration>(answers_awaited, m_grace / 5),
                 .end_transactions = since >= m_grace / 2,
                 .exit = since >= m_grace - kill_margin || (since >= noticed + last_answers && sessions == 0)};
     }
@@ -40,6 +45,10 @@
     /// The balancer asks once a second and takes a proxy out after two misses;
     /// with the question under way that is at most 2 s and a round trip.
     static constexpr std::chrono::milliseconds balancer_notices{2200};
+    /// Callers ask about once a second: two thirds of the sessions end behind
+    /// an answer within that time. Closing a resting one cuts the request that
+    /// is on its way, 3 ms, once in 300 closings.
+    static constexpr std::chrono::milliseconds answers_awaited{1100};
     /// Connections that were on their way as the balancer noticed.
     static constexpr std::chrono::milliseconds last_answers{150};
     /// Left before the kill, for a slow VM to get to its exit.
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -66,6 +66,9 @@
     /// Whether callers can be served: a configuration is known.
     [[nodiscard]] bool has_configuration() const noexcept { return m_config.version != 0; }
 
+    /// From now on sessions end behind their next answer outside a transaction.
+    void close_answered() { m_closing = true; }
+
     /// Ends the sessions that rest; later ones end as they come to rest.
     void close_resting();
 
@@ -116,6 +119,7 @@
     std::set<conversation*> m_sessions;
     std::uint64_t m_last_session{0};
     bool m_closing{false};
+    bool m_closing_resting{false};
     bool m_ending_transactions{false};
 };
 
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -81,6 +81,7 @@
 template <routing::link_connector Connector>
 void traffic<Connector>::close_resting() {
     m_closing = true;
+    m_closing_resting = true;
     std::vector<conversation*> resting;
     for (auto* item : m_sessions) {
         if (item->status.resting) {
@@ -118,11 +119,13 @@
     m_sessions.insert(&with);
     ++m_counters.sessions_opened;
     caller.welcome();
+    bool answered = false;
     for (;;) {
         with.status.resting = !with.open;
         // A request that has arrived is still answered: the caller could not
         // know that the session was about to end.
-        if (m_closing && with.status.resting && caller.close_if_quiet()) {
+        const bool closing = m_closing_resting || (m_closing && answered);
+        if (closing && with.status.resting && caller.close_if_quiet()) {
             break;
         }
         auto happened = co_await caller.next(silence_limit(with));
@@ -137,6 +140,7 @@
                 m_counters.served_in.record(boot_clock::now() - arrival);
             }
             caller.send(out);
+            answered = true;
             continue;
         }
         if (const auto* garbled = std::get_if<malformed_input>(&happened)) {
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -191,8 +191,10 @@
 BOOST_AUTO_TEST_CASE(sessions_are_closed_once_the_balancer_has_noticed) {
     const boot_clock::time_point begun{1h};
     const session::planned_stop stop{begun, 6s};
-    BOOST_TEST(!stop.at(begun + 2s, 5).close_resting);
-    BOOST_TEST(stop.at(begun + 2300ms, 5).close_resting);
+    BOOST_TEST(!stop.at(begun + 2s, 5).close_answered);
+    BOOST_TEST(stop.at(begun + 2300ms, 5).close_answered);
+    BOOST_TEST(!stop.at(begun + 3200ms, 5).close_resting);
+    BOOST_TEST(stop.at(begun + 3400ms, 5).close_resting);
     BOOST_TEST(!stop.at(begun + 2300ms, 0).exit);
     BOOST_TEST(stop.at(begun + 2500ms, 0).exit);
     BOOST_TEST(!stop.at(begun + 2900ms, 5).end_transactions);
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -309,6 +309,18 @@
     BOOST_TEST(caller.closed);
 }
 
+// A request is cut at a planned stop: its session rested and was closed while
+// the request was on its way. Behind an answer there can be none.
+BOOST_AUTO_TEST_CASE(a_stop_closes_a_session_behind_its_next_answer) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    caller.before[1] = [&] { proxy.host.close_answered(); };
+    proxy.play({&caller});
+    BOOST_TEST(caller.answers.size() == 1U);
+    BOOST_TEST(caller.closed);
+    BOOST_TEST(caller.taken == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_ends_transactions_with_their_next_statement) {
     proxy_in_memory proxy;
     caller_script caller{.events = {opening("strict"), ask("b", statement_kind::begin),
