--- /dev/null
+++ b/src/cornellever/ctl/explain.cpp
@@ -0,0 +1,68 @@
+#include "cornellever/ctl/explain.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace cornellever::ctl {
+
+namespace {
+
+/// Events that end a request, by their names in the catalogue.
+constexpr std::array<std::string_view, 5> ending{"request.served", "request.refused", "request.outcome_unknown",
+                                                 "transaction.failed", "session.refused"};
+
+bool names_request(std::string_view line, std::string_view request) {
+    const auto field = "request=" + std::string{request};
+    const auto at = line.find(field);
+    if (at == std::string_view::npos) {
+        return false;
+    }
+    const auto behind = line.substr(at + field.size());
+    return behind.empty() || behind.front() == ' ';
+}
+
+/// The time of a line, `2026-01-01T00:00:00.000`: it stands before the role,
+/// whatever a collector of logs wrote before it.
+std::string_view time_of(std::string_view line) {
+    constexpr std::size_t time_size = 23;
+    for (auto at = line.find('T'); at != std::string_view::npos; at = line.find('T', at + 1)) {
+        constexpr std::size_t date_size = 10;
+        if (at >= date_size && at + 13 <= line.size() && line[at - 3] == '-' && line[at + 3] == ':') {
+            return line.substr(at - date_size, time_size);
+        }
+    }
+    return {};
+}
+
+bool ends_request(std::string_view line) {
+    return std::ranges::any_of(ending,
+                               [&](std::string_view name) { return line.find(name) != std::string_view::npos; });
+}
+
+} // namespace
+
+void collect_lines(std::string_view request, const std::string& file, std::string_view log,
+                   std::vector<request_line>& into) {
+    std::size_t number = 0;
+    while (!log.empty()) {
+        const auto end = log.find('\n');
+        const auto line = log.substr(0, end);
+        ++number;
+        if (names_request(line, request)) {
+            into.push_back({file, number, std::string{line}});
+        }
+        log = end == std::string_view::npos ? std::string_view{} : log.substr(end + 1);
+    }
+}
+
+void order_lines(std::vector<request_line>& lines) {
+    std::ranges::stable_sort(lines, {}, [](const request_line& item) { return std::string{time_of(item.text)}; });
+    for (auto at = lines.rbegin(); at != lines.rend(); ++at) {
+        if (ends_request(at->text)) {
+            at->deciding = true;
+            return;
+        }
+    }
+}
+
+} // namespace cornellever::ctl
--- a/src/cornellever/ctl/main.cpp
+++ b/src/cornellever/ctl/main.cpp
@@ -1,7 +1,9 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
+#include <span>
 
 #include <tclap/CmdLine.h>
 
@@ -10,9 +12,11 @@
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/role.hpp"
 #include "cornellever/ctl/apply.hpp"
+#include "cornellever/ctl/explain.hpp"
 #include "cornellever/ctl/folder_base.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/envelope.hpp"
+#include "cornellever/session/serve_settings.hpp"
 
 namespace cornellever {
 
@@ -78,6 +82,24 @@
     return refusal.code == errc::unavailable ? unreachable : refused;
 }
 
+/// Checks a settings file of the role `serve`; a settings template is checked
+/// with every placeholder standing for an address.
+int run_check_settings(const std::string& name) {
+    std::ifstream file{name};
+    if (!file) {
+        std::fprintf(stderr, "%s: cannot be read\n", name.c_str());
+        return usage;
+    }
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    session::serve_settings unused;
+    const auto findings = session::read_serve_settings(session::fill_placeholders(text), name, unused);
+    for (const auto& item : findings) {
+        std::printf("%s\n", ini::to_string(item).c_str());
+    }
+    std::printf(findings.empty() ? "ok\n" : "refused\n");
+    return findings.empty() ? ok : refused;
+}
+
 /// What `apply` was told on the command line.
 struct apply_options {
     std::string folder;
@@ -141,6 +163,29 @@
     return ok;
 }
 
+/// Prints what the logs say of a request, and marks what decided it.
+int run_explain(const std::string& request, std::span<const std::string> files) {
+    std::vector<ctl::request_line> lines;
+    for (const auto& name : files) {
+        std::ifstream file{name};
+        if (!file) {
+            std::fprintf(stderr, "%s: cannot be read\n", name.c_str());
+            return usage;
+        }
+        const std::string text{std::istreambuf_iterator<char>{file}, {}};
+        ctl::collect_lines(request, name, text, lines);
+    }
+    if (lines.empty()) {
+        std::printf("no line tells of request %s\n", request.c_str());
+        return refused;
+    }
+    ctl::order_lines(lines);
+    for (const auto& item : lines) {
+        std::printf("%s %s:%zu: %s\n", item.deciding ? "=>" : "  ", item.file.c_str(), item.number, item.text.c_str());
+    }
+    return ok;
+}
+
 int run_status(const tcp::endpoint& platform, const std::vector<tcp::endpoint>& proxies) {
     const auto config = ctl::fetch(platform);
     if (config) {
@@ -161,9 +206,9 @@
 } // namespace
 
 int ctl_main(std::span<char*> args) {
-    TCLAP::CmdLine cmd{"Operators' command line: check, apply, fetch, status, dump, call", ' ', "0.1"};
+    TCLAP::CmdLine cmd{"Operators' command line", ' ', "0.1"};
     TCLAP::UnlabeledValueArg<std::string> command{
-        "command", "check, apply, fetch, status, dump or call", true, "", "command", cmd};
+        "command", "check, apply, fetch, status, dump, call, explain or check-settings", true, "", "command", cmd};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "folder, or address [method [params]]", false, "operand",
                                                    cmd};
     TCLAP::ValueArg<std::string> platform{
@@ -185,6 +230,12 @@
     if (verb == "call" && (words.size() == 2 || words.size() == 3)) {
         return print_call(words[0], words[1], words.size() == 3 ? words[2] : "");
     }
+    if (verb == "explain" && words.size() >= 2) {
+        return run_explain(words[0], std::span{words}.subspan(1));
+    }
+    if (verb == "check-settings" && words.size() == 1) {
+        return run_check_settings(words[0]);
+    }
     tcp::endpoint platform_at;
     std::vector<tcp::endpoint> proxies_at;
     if (!parse_endpoints(proxies.getValue(), proxies_at)) {
@@ -205,7 +256,9 @@
                          "       cornellever ctl apply DIR --platform IP:PORT [--expect-version N] [--proxy IP:PORT]\n"
                          "       cornellever ctl fetch DIR --platform IP:PORT\n"
                          "       cornellever ctl status --platform IP:PORT [--proxy IP:PORT]\n"
-                         "       cornellever ctl dump IP:PORT | call IP:PORT METHOD [JSON]\n");
+                         "       cornellever ctl dump IP:PORT | call IP:PORT METHOD [JSON]\n"
+                         "       cornellever ctl explain REQUEST LOG...\n"
+                         "       cornellever ctl check-settings FILE\n");
     return usage;
 }
 
--- a/src/cornellever/session/serve_settings.cpp
+++ b/src/cornellever/session/serve_settings.cpp
@@ -105,4 +105,28 @@
     return findings;
 }
 
+std::string fill_placeholders(std::string_view text) {
+    std::string out;
+    while (!text.empty()) {
+        const auto open = text.find("{{");
+        out += text.substr(0, open);
+        if (open == std::string_view::npos) {
+            break;
+        }
+        const auto close = text.find("}}", open);
+        if (close == std::string_view::npos) {
+            out += text.substr(open);
+            break;
+        }
+        const bool before_port = text.substr(close + 2).starts_with(":");
+        const bool port = out.ends_with(":");
+        const auto key = std::string_view{out}.substr(out.rfind('\n') + 1);
+        const bool word = key.starts_with("name") || key.starts_with("data_center");
+        const bool number = key.starts_with("grace_s") || port;
+        out += number ? "7" : before_port ? "10.0.0.1" : word ? "word" : "10.0.0.1:7000";
+        text = text.substr(close + 2);
+    }
+    return out;
+}
+
 } // namespace cornellever::session
--- a/src/cornellever/session/serve_settings.hpp
+++ b/src/cornellever/session/serve_settings.hpp
@@ -41,4 +41,8 @@
 [[nodiscard]] std::vector<ini::finding> read_serve_settings(std::string_view text, std::string_view file,
                                                             serve_settings& out);
 
+/// The text of a settings template with a value of the right kind in place of
+/// each `{{placeholder}}`, so that it can be checked before a platform fills it.
+[[nodiscard]] std::string fill_placeholders(std::string_view text);
+
 } // namespace cornellever::session
--- /dev/null
+++ b/tests/unit/explaining.cpp
@@ -0,0 +1,103 @@
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <regex>
+
+#include "cornellever/core/log_queue.hpp"
+#include "cornellever/ctl/explain.hpp"
+#include "cornellever/metrics/exposition.hpp"
+#include "cornellever/session/serve_settings.hpp"
+
+using namespace cornellever;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(explaining)
+
+BOOST_AUTO_TEST_CASE(the_lines_of_a_request_are_gathered_over_all_logs_in_order) {
+    std::vector<ctl::request_line> lines;
+    ctl::collect_lines("5c", "b.log",
+                       "2026-01-01T00:00:02.000 serve INFO CL1310 request.refused request=5c reason=x\n"
+                       "2026-01-01T00:00:02.100 serve INFO CL1310 request.refused request=5cc reason=x\n",
+                       lines);
+    ctl::collect_lines("5c", "a.log",
+                       "  0.5 front 2026-01-01T00:00:01.500 serve INFO CL1311 request.retried request=5c\n", lines);
+    ctl::order_lines(lines);
+    BOOST_TEST_REQUIRE(lines.size() == 2U);
+    BOOST_TEST(lines[0].file == "a.log");
+    BOOST_TEST(!lines[0].deciding);
+    BOOST_TEST(lines[1].deciding);
+    BOOST_TEST(lines[1].number == 1U);
+}
+
+// Callers wait because nobody reads the proxy's output: its lines fill the
+// pipe. Lines are dropped instead, and their number is told.
+BOOST_AUTO_TEST_CASE(lines_that_nobody_reads_are_dropped_and_counted) {
+    log_queue queue;
+    const log_queue::time_point start{};
+    for (std::uint32_t i = 0; i < log_queue::lines_per_second + 50; ++i) {
+        queue.push(event::request_served, severity::info, "line", start);
+    }
+    BOOST_TEST(queue.dropped() == 50U);
+    // Another event has a rate of its own.
+    queue.push(event::store_lost, severity::warning, "store", start);
+    queue.push(event::request_served, severity::info, "later", start + 1s);
+    std::vector<std::string> written;
+    while (const auto line = queue.pop()) {
+        written.push_back(line->text);
+    }
+    BOOST_TEST(written.size() == log_queue::lines_per_second + 3);
+    BOOST_TEST(written[written.size() - 2] == "CL1320 log.lines_dropped event=CL1314 count=50");
+    BOOST_TEST(written.back() == "later");
+}
+
+BOOST_AUTO_TEST_CASE(the_memory_for_waiting_lines_is_bounded) {
+    log_queue queue;
+    for (int second = 0; second < 100; ++second) {
+        for (int i = 0; i < 100; ++i) {
+            queue.push(event::request_served, severity::info, "line", log_queue::time_point{second * 1s});
+        }
+    }
+    std::size_t written = 0;
+    while (queue.pop()) {
+        ++written;
+    }
+    BOOST_TEST(written <= log_queue::max_lines);
+    BOOST_TEST(queue.dropped() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(metrics_are_in_the_exposition_format) {
+    metrics::latency latency;
+    latency.record(12ms);
+    metrics::exposition out;
+    out.counter("a_total", "Things.", 3, {{"kind", "x"}});
+    out.counter("a_total", "", 4, {{"kind", "y"}});
+    out.gauge("b", "Level.", -1.5);
+    out.summary("c_microseconds", "Times.", latency);
+    const std::regex series{R"re([a-z_]+(\{[a-z_]+="[^"]*"(,[a-z_]+="[^"]*")*\})? -?[0-9.e+]+)re"};
+    std::istringstream lines{out.text()};
+    int heads = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("# ")) {
+            ++heads;
+        } else {
+            BOOST_TEST(std::regex_match(line, series), line);
+        }
+    }
+    BOOST_TEST(heads == 6);
+}
+
+BOOST_AUTO_TEST_CASE(the_deploy_template_fits_the_settings) {
+    std::ifstream file{CORNELLEVER_SOURCE_DIR "/deploy/proxy.ini.template"};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    BOOST_TEST_REQUIRE(!text.empty());
+    session::serve_settings out;
+    const auto findings = session::read_serve_settings(session::fill_placeholders(text), "template", out);
+    for (const auto& item : findings) {
+        BOOST_ERROR(ini::to_string(item));
+    }
+    BOOST_TEST(out.grace == 7s);
+    BOOST_TEST(out.metrics.port() == 9464);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
