Owners of connections and relayed sessions; longer shared waits among many proxies

Change: with 12 proxies or more and less than two connections each, some own the connections of a service (rendezvous hashing, spread over data centres) and the others relay whole sessions to them. Waits for changes of the store grow with the number of proxies; a registry that a peer has newer is taken from it; peers are told what is registered, not what is kept.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -29,9 +29,12 @@
 /// Who this proxy is among the others.
 struct control_settings {
     std::string name;
+    std::string data_center;
     std::uint64_t incarnation{0};
     asio::ip::udp::endpoint heartbeats;
     tcp::endpoint peers;
+    /// Where this proxy takes callers; the others do on the same port.
+    tcp::endpoint callers;
     std::vector<asio::ip::udp::endpoint> seeds;
 };
 
@@ -108,6 +111,7 @@
     asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
     asio::awaitable<void> replace(std::string service, std::string old);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
+    void compare_versions(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now);
     void take_reports(const peer_message& message, time_point counted_from);
     void ask_peers();
     void send(const peer_message& message, const asio::ip::udp::endpoint& to);
@@ -115,7 +119,7 @@
     void look_after(const std::string& service, watch& at);
     [[nodiscard]] primary_verdict verdict_on(const std::string& service, watch& at,
                                              std::vector<primary_view>& views) const;
-    [[nodiscard]] std::chrono::milliseconds turn_delay() const;
+    [[nodiscard]] std::chrono::milliseconds turn_delay(const std::string& service) const;
     [[nodiscard]] bool suspicious() const;
     void share_budget();
 
@@ -135,9 +139,11 @@
     static constexpr std::chrono::milliseconds leaderless_for{1800};
     /// The feed of the store is given that long before a peer is asked.
     static constexpr std::chrono::milliseconds feed_lead{200};
+    /// Versions of the registry may differ although nothing in it does: a table
+    /// read whole takes the store's newest version.
+    static constexpr std::chrono::milliseconds registry_lead{1500};
     /// Until the others are known, the fewest connections are used.
     static constexpr std::chrono::milliseconds unknown_for{1500};
-    static constexpr std::size_t many_proxies = 1000;
     static constexpr std::chrono::milliseconds catch_up_limit{500};
     static constexpr std::size_t sampled_peers = 12;
 
@@ -162,7 +168,7 @@
     time_point m_behind_since{};
     bool m_catching_up{false};
     bool m_leaving{false};
-    std::size_t m_counted{0};
+    std::vector<session::proxy_place> m_places;
     std::minstd_rand m_random{std::random_device{}()};
 };
 
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -11,7 +11,7 @@
         return fail(errc::unavailable, "cannot bind the heartbeat address: " + ec.message());
     }
     m_rpc.on("snapshot", [this](const Json::Value&, rpc::connection&) -> asio::awaitable<result<Json::Value>> {
-        co_return to_json(m_config, m_registry.effective());
+        co_return to_json(m_config, m_registry.registered());
     });
     m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
@@ -78,8 +78,8 @@
 asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
     constexpr std::chrono::milliseconds pause{400};
     const std::string table{"proxies"};
-    const auto address =
-        m_settings.heartbeats.address().to_string() + ":" + std::to_string(m_settings.heartbeats.port());
+    const auto address = m_settings.heartbeats.address().to_string() + ":" +
+                         std::to_string(m_settings.heartbeats.port()) + " " + m_settings.data_center;
     for (;;) {
         const auto written = co_await m_store.write(table, m_settings.name, address);
         if (written) {
@@ -92,8 +92,10 @@
         if (rows) {
             for (const auto& row : rows->rows) {
                 tcp::endpoint where;
-                if (parse_endpoint(row.value, where)) {
-                    m_members.learn(row.key, {where.address(), where.port()}, boot_clock::now());
+                const auto blank = row.value.find(' ');
+                if (blank != std::string::npos && parse_endpoint(row.value.substr(0, blank), where)) {
+                    m_members.learn(row.key, row.value.substr(blank + 1), {where.address(), where.port()},
+                                    boot_clock::now());
                 }
             }
             break;
@@ -126,6 +128,7 @@
     const auto age = [now](time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
     peer_message out{.what = what,
                      .sender = m_settings.name,
+                     .data_center = m_settings.data_center,
                      .incarnation = m_settings.incarnation,
                      .config_version = m_config.version,
                      .registry_version = m_registry.effective().version,
@@ -239,15 +242,27 @@
     } else {
         take_reports(message, counted_from);
     }
-    const bool config_behind = message.config_version > m_config.version;
-    const bool registry_behind = message.registry_version > m_registry.effective().version && !m_store_reachable();
-    if (!config_behind && !registry_behind) {
+    compare_versions(message, from, now);
+}
+
+/// Notices when a peer has a newer configuration or registry. The feed of the
+/// store brings both in a few milliseconds; where it does not, its connection
+/// has gone silent or the store turns this proxy away, and the peer is asked.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::compare_versions(const peer_message& message,
+                                                         const asio::ip::udp::endpoint& from, time_point now) {
+    const bool behind =
+        message.config_version > m_config.version || message.registry_version > m_registry.effective().version;
+    if (!behind) {
+        m_behind_since = {};
         return;
     }
     if (m_behind_since == time_point{}) {
         m_behind_since = now;
     }
-    if (!m_catching_up && (now - m_behind_since >= feed_lead || !m_store_reachable())) {
+    const bool config_behind = message.config_version > m_config.version;
+    const auto lead = !m_store_reachable() ? std::chrono::milliseconds{0} : config_behind ? feed_lead : registry_lead;
+    if (!m_catching_up && now - m_behind_since >= lead) {
         m_catching_up = true;
         asio::co_spawn(m_executor, catch_up(message.sender, from.address()), asio::detached);
     }
@@ -289,9 +304,7 @@
     log_event(event::config_loaded, "peer=" + from + " version=" + std::to_string(got->config.version) +
                                         " registry=" + std::to_string(got->servers.version));
     take(std::move(got->config));
-    if (!m_store_reachable()) {
-        take(got->servers);
-    }
+    take(got->servers);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -303,12 +316,17 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::share_budget() {
-    const bool unknown = boot_clock::now() - m_started < unknown_for;
-    const auto count = unknown ? many_proxies : m_members.counted();
-    if (count != m_counted) {
-        m_counted = count;
-        m_counts.proxies = m_members.counted();
-        m_bridge.set_proxies(count);
+    if (boot_clock::now() - m_started < unknown_for) {
+        return;
+    }
+    std::vector<session::proxy_place> places{{m_settings.name, m_settings.data_center, m_settings.callers}};
+    for (const auto& [name, item] : m_members.peers()) {
+        places.push_back({name, item.data_center, {item.address.address(), m_settings.callers.port()}});
+    }
+    if (places != m_places) {
+        m_places = places;
+        m_counts.proxies = places.size();
+        m_bridge.set_proxies(std::move(places));
     }
 }
 
@@ -373,12 +391,22 @@
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-std::chrono::milliseconds control<Store, Orders, Connector>::turn_delay() const {
-    const auto names = m_members.able(boot_clock::now());
+std::chrono::milliseconds control<Store, Orders, Connector>::turn_delay(const std::string& service) const {
     if (!m_store_reachable()) {
         return turn_step * (longest_turn + 2);
     }
-    const auto place = std::ranges::find(names, m_settings.name) - names.begin();
+    // Those that use the service judge its primary, each in its turn.
+    std::ptrdiff_t place = 0;
+    for (const auto& name : m_members.able(boot_clock::now())) {
+        const auto found = m_members.peers().find(name);
+        if (name >= m_settings.name || found == m_members.peers().end()) {
+            continue;
+        }
+        place += std::ranges::any_of(found->second.primaries,
+                                     [&](const primary_report& item) { return item.service == service; })
+                     ? 1
+                     : 0;
+    }
     return turn_step * std::min<std::ptrdiff_t>(place, longest_turn);
 }
 
@@ -425,7 +453,7 @@
                       " peers=" + std::to_string(views.size()) +
                       (at.seen ? " heard_ms=" + std::to_string(to_ms(now - at.seen->primary.heard_at)) : ""));
     }
-    if (verdict == primary_verdict::fine || now - at.judged_since < turn_delay()) {
+    if (verdict == primary_verdict::fine || now - at.judged_since < turn_delay(service)) {
         return;
     }
     at.replacing = true;
--- a/src/cornellever/cluster/membership.cpp
+++ b/src/cornellever/cluster/membership.cpp
@@ -4,7 +4,8 @@
 
 namespace cornellever::cluster {
 
-void membership::learn(const std::string& name, const asio::ip::udp::endpoint& address, time_point now) {
+void membership::learn(const std::string& name, const std::string& data_center, const asio::ip::udp::endpoint& address,
+                       time_point now) {
     if (name == m_self) {
         return;
     }
@@ -14,6 +15,7 @@
     }
     if (added || !is_alive(at->second, now)) {
         at->second.address = address;
+        at->second.data_center = data_center;
     }
 }
 
@@ -29,6 +31,7 @@
     }
     const bool risen = !is_alive(item, now) || item.incarnation != message.incarnation;
     item.address = from;
+    item.data_center = message.data_center;
     item.incarnation = message.incarnation;
     item.heard_at = now;
     item.config_version = message.config_version;
--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -15,6 +15,7 @@
 /// Another proxy.
 struct peer {
     asio::ip::udp::endpoint address;
+    std::string data_center;
     std::uint64_t incarnation{0};
     /// When it last answered or asked; the epoch when never.
     boot_clock::time_point heard_at{};
@@ -44,7 +45,8 @@
 
     /// A proxy that may be up at `address`. A name that moved to another
     /// address is taken there.
-    void learn(const std::string& name, const asio::ip::udp::endpoint& address, time_point now);
+    void learn(const std::string& name, const std::string& data_center, const asio::ip::udp::endpoint& address,
+               time_point now);
 
     /// A message of a proxy, whose ages count from `counted_from`. Returns
     /// true when it was not alive before.
--- a/src/cornellever/cluster/peer_message.cpp
+++ b/src/cornellever/cluster/peer_message.cpp
@@ -110,8 +110,8 @@
 std::string encode(const peer_message& message) {
     std::ostringstream out;
     out << magic << ' ' << letter_of(message.what) << ' ' << message.nonce << ' ' << message.sender << ' '
-        << message.incarnation << ' ' << message.config_version << ' ' << message.registry_version << ' '
-        << (message.store_reachable ? 1 : 0);
+        << message.data_center << ' ' << message.incarnation << ' ' << message.config_version << ' '
+        << message.registry_version << ' ' << (message.store_reachable ? 1 : 0);
     for (const auto& item : message.primaries) {
         write_report(out, item);
     }
@@ -131,6 +131,7 @@
     out.what = *what;
     out.nonce = words.number();
     out.sender = words.word();
+    out.data_center = words.word();
     out.incarnation = words.number();
     out.config_version = words.number();
     out.registry_version = words.number();
--- a/src/cornellever/cluster/peer_message.hpp
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -40,6 +40,7 @@
     kind what{kind::question};
     std::uint64_t nonce{0};
     std::string sender;
+    std::string data_center{"-"};
     /// Differs for each start of the sender's process.
     std::uint64_t incarnation{0};
     std::uint64_t config_version{0};
--- a/src/cornellever/cluster/registry_keeper.hpp
+++ b/src/cornellever/cluster/registry_keeper.hpp
@@ -27,6 +27,10 @@
 
     [[nodiscard]] const routing::registry& effective() const noexcept { return m_effective; }
 
+    /// What is registered, without what is kept. Peers are told this: what one
+    /// proxy keeps must not look registered to another.
+    [[nodiscard]] const routing::registry& registered() const noexcept { return m_registered; }
+
     /// How long the entry of a server has been gone; nothing while it is there
     /// or for a server not known.
     [[nodiscard]] std::optional<std::chrono::milliseconds> missing_for(const std::string& id, time_point now) const;
@@ -37,6 +41,7 @@
     /// what is under way.
     static constexpr std::chrono::milliseconds kept_for{4500};
 
+    routing::registry m_registered;
     routing::registry m_effective;
     std::map<std::string, time_point, std::less<>> m_missing_since;
 };
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -25,12 +25,13 @@
 public:
     using on_change = std::function<void(const table_rows& rows, std::uint64_t version)>;
 
-    /// `wait` bounds one question for changes: a connection that went silent
-    /// is noticed that long after, plus the store's own call limit.
-    table_follower(Store& store, std::string table, std::chrono::milliseconds wait, on_change changed)
+    /// `wait` tells how long one question for changes may wait: a connection
+    /// that went silent is noticed that long after, plus the store's own call
+    /// limit.
+    table_follower(Store& store, std::string table, std::function<std::chrono::milliseconds()> wait, on_change changed)
         : m_store{store}
         , m_table{std::move(table)}
-        , m_wait{wait}
+        , m_wait{std::move(wait)}
         , m_changed{std::move(changed)} {}
 
     /// Follows until the event loop ends.
@@ -66,7 +67,7 @@
         }
         // After a failure the store is asked for an answer at once: the wait for
         // a change would keep its return unknown for as long.
-        return m_store.changes(m_table, m_version, m_failures > 0 ? std::chrono::milliseconds{0} : m_wait);
+        return m_store.changes(m_table, m_version, m_failures > 0 ? std::chrono::milliseconds{0} : m_wait());
     }
 
     void take(store_rows got) {
@@ -115,7 +116,7 @@
 
     Store& m_store;
     std::string m_table;
-    std::chrono::milliseconds m_wait;
+    std::function<std::chrono::milliseconds()> m_wait;
     on_change m_changed;
     table_rows m_rows;
     std::uint64_t m_version{0};
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -47,8 +47,8 @@
         asio::post(m_executor, [this, value = std::move(value)]() mutable { m_host.update(std::move(value)); });
     }
 
-    void set_proxies(std::size_t count) {
-        asio::post(m_executor, [this, count] { m_host.set_proxies(count); });
+    void set_proxies(std::vector<session::proxy_place> places) {
+        asio::post(m_executor, [this, places = std::move(places)]() mutable { m_host.set_proxies(std::move(places)); });
     }
 
     void take(std::vector<peer_sight> seen) {
@@ -111,6 +111,10 @@
     asio::awaitable<std::vector<service_sight>> collect() {
         std::vector<service_sight> out;
         for (const auto& [name, backends] : m_host.pools()) {
+            // What was not used has not been looked at.
+            if (!backends->used()) {
+                continue;
+            }
             const auto* newest = backends->floor().newest();
             out.push_back({name, backends->sight(),
                            newest == nullptr ? std::nullopt : std::optional<routing::freshness_sample>{*newest}});
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -185,6 +185,9 @@
     /// How long a statement takes at the primary, or at the servers on average.
     [[nodiscard]] std::chrono::duration<double, std::milli> typical(bool primary_only) const;
 
+    /// Whether any request has asked for a connection yet.
+    [[nodiscard]] bool used() const noexcept { return m_used; }
+
     /// Whether the primary is known and answered when last tried.
     [[nodiscard]] bool primary_answers() const {
         const auto found = m_entries.find(m_primary);
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -422,6 +422,10 @@
     if (!answer) {
         note_failure(at, answer.error());
     }
+    if (!m_used) {
+        // This proxy holds no connections to the service's servers.
+        held->connection->close();
+    }
     take_back(*held);
     co_return answer;
 }
--- a/src/cornellever/session/caller.hpp
+++ b/src/cornellever/session/caller.hpp
@@ -15,6 +15,8 @@
 /// A caller opens its session.
 struct session_opening {
     std::string database;
+    /// Another proxy relays it and must not be relayed to in turn.
+    bool relayed{false};
 };
 
 /// Input that is none of the protocol's.
--- /dev/null
+++ b/src/cornellever/session/ownership.cpp
@@ -0,0 +1,75 @@
+#include "cornellever/session/ownership.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+
+#include "cornellever/routing/connection_budget.hpp"
+
+namespace cornellever::session {
+
+namespace {
+
+/// Connections of an owner to each server: two statements can run while a
+/// transaction rests on the third.
+constexpr std::size_t wanted_connections = 3;
+
+/// More to one server than this only add handshakes: it runs two statements
+/// at a time and queues sixteen.
+constexpr std::size_t useful_connections = 24;
+
+/// With fewer proxies than this a relay's extra hop costs more than a second
+/// connection each brings.
+constexpr std::size_t few_proxies = 12;
+
+/// FNV-1a, followed by a mix: the same on every proxy, unlike std::hash.
+std::uint64_t weight_of(std::string_view service, std::string_view proxy) {
+    std::uint64_t out = 14695981039346656037ULL;
+    const auto add = [&out](std::string_view text) {
+        for (const char byte : text) {
+            out = (out ^ static_cast<unsigned char>(byte)) * 1099511628211ULL;
+        }
+    };
+    add(service);
+    add("/");
+    add(proxy);
+    out ^= out >> 33U;
+    out *= 0xff51afd7ed558ccdULL;
+    return out ^ (out >> 33U);
+}
+
+} // namespace
+
+bool ownership::owns(std::string_view proxy) const {
+    return owners.empty() || std::ranges::any_of(owners, [&](const auto& item) { return item.name == proxy; });
+}
+
+ownership share_connections(std::string_view service, std::size_t limit, std::span<const proxy_place> proxies) {
+    const auto each = routing::connections_per_proxy(limit, proxies.size());
+    if (each >= 2 || proxies.size() < few_proxies) {
+        return {{}, each};
+    }
+    const auto usable = std::min(
+        limit > routing::connections_kept_back ? limit - routing::connections_kept_back : limit, useful_connections);
+    const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, proxies.size());
+    std::map<std::string_view, std::vector<const proxy_place*>> by_place;
+    for (const auto& item : proxies) {
+        by_place[item.data_center].push_back(&item);
+    }
+    for (auto& [place, items] : by_place) {
+        std::ranges::sort(items, {}, [&](const auto* item) { return weight_of(service, item->name); });
+    }
+    ownership out;
+    // One of each data centre in turn: a session finds an owner nearby.
+    for (std::size_t rank = 0; out.owners.size() < wanted; ++rank) {
+        for (const auto& [place, items] : by_place) {
+            if (rank < items.size() && out.owners.size() < wanted) {
+                out.owners.push_back(*items[rank]);
+            }
+        }
+    }
+    out.connections_each = std::max<std::size_t>(1, usable / out.owners.size());
+    return out;
+}
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/ownership.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/asio.hpp"
+
+namespace cornellever::session {
+
+/// A proxy as others reach it.
+struct proxy_place {
+    std::string name;
+    std::string data_center;
+    /// Where it takes callers' sessions.
+    tcp::endpoint callers;
+
+    friend bool operator==(const proxy_place&, const proxy_place&) = default;
+};
+
+/// Which proxies hold connections to a service's servers, and how many each.
+struct ownership {
+    /// Empty when every proxy does.
+    std::vector<proxy_place> owners;
+    std::size_t connections_each{1};
+
+    [[nodiscard]] bool owns(std::string_view proxy) const;
+};
+
+/// Shares out the `limit` connections that a server takes. Where they suffice
+/// for two each, or the proxies are few, every proxy holds its own; otherwise
+/// some own them and the others relay their callers' sessions there. All
+/// proxies that know the same others come to the same owners, and one that
+/// joins or leaves moves few of them.
+[[nodiscard]] ownership share_connections(std::string_view service, std::size_t limit,
+                                          std::span<const proxy_place> proxies);
+
+} // namespace cornellever::session
--- /dev/null
+++ b/src/cornellever/session/relay.cpp
@@ -0,0 +1,20 @@
+#include "cornellever/session/relay.hpp"
+
+namespace cornellever::session {
+
+std::vector<proxy_place> relay_order(const ownership& shared, std::string_view data_center, std::uint64_t session) {
+    auto out = shared.owners;
+    const auto others =
+        std::ranges::stable_partition(out, [&](const proxy_place& item) { return item.data_center == data_center; });
+    const auto near_end = others.begin();
+    const auto turn = [session](auto from, auto to) {
+        if (from != to) {
+            std::rotate(from, from + static_cast<std::ptrdiff_t>(session % static_cast<std::uint64_t>(to - from)), to);
+        }
+    };
+    turn(out.begin(), near_end);
+    turn(near_end, out.end());
+    return out;
+}
+
+} // namespace cornellever::session
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -14,6 +14,8 @@
 #include "cornellever/routing/model.hpp"
 #include "cornellever/routing/service_pool.hpp"
 #include "cornellever/session/caller.hpp"
+#include "cornellever/session/ownership.hpp"
+#include "cornellever/session/relay.hpp"
 #include "cornellever/session/statement_engine.hpp"
 
 namespace cornellever::session {
@@ -37,9 +39,10 @@
     using pool = routing::service_pool<Connector>;
     using engine = statement_engine<Connector>;
 
-    traffic(asio::any_io_executor executor, Connector& connector, std::string data_center)
+    traffic(asio::any_io_executor executor, Connector& connector, std::string name, std::string data_center)
         : m_executor{std::move(executor)}
         , m_connector{connector}
+        , m_name{std::move(name)}
         , m_data_center{std::move(data_center)}
         , m_engine{m_counters} {}
 
@@ -49,8 +52,9 @@
     /// Takes the registered backend servers.
     void update(routing::registry servers);
 
-    /// How many proxies share each server's connections.
-    void set_proxies(std::size_t proxies);
+    /// The proxies that share each server's connections, this one among them;
+    /// none while they are not known yet.
+    void set_proxies(std::vector<proxy_place> proxies);
 
     /// Housekeeping of the pools.
     void tick() {
@@ -92,9 +96,17 @@
         session_state state;
         std::optional<transaction> open{};
         session_status status{};
+        /// Of a relayed session, as the owner said last.
+        sql::transaction_state relayed_state{sql::transaction_state::idle};
     };
 
     void share_servers();
+    [[nodiscard]] ownership share_of(const std::string& service) const;
+    void share_connections_anew();
+    using relay_ptr = std::unique_ptr<typename Connector::relay>;
+    asio::awaitable<relay_ptr> find_owner(const std::string& database, std::uint64_t session);
+    asio::awaitable<sql::reply> relay(conversation& with, typename Connector::relay& owner, const sql::request& asked);
+    void count(const sql::reply& out, boot_clock::time_point arrival);
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> run(conversation& with, const sql::request& asked);
     sql::reply begin(conversation& with, bool read_only);
@@ -106,13 +118,19 @@
 
     /// A session without a transaction may rest as long as it likes.
     static constexpr std::chrono::hours resting_limit{24};
+    /// An owner that is well takes a session in a few round trips; a caller
+    /// gives up after 2 s.
+    static constexpr std::chrono::milliseconds owner_limit{300};
+    /// The owner answers by the statement's timeout itself.
+    static constexpr std::chrono::milliseconds owner_slack{300};
 
     asio::any_io_executor m_executor;
     Connector& m_connector;
+    std::string m_name;
     std::string m_data_center;
     routing::configuration m_config;
     routing::registry m_registry;
-    std::size_t m_proxies{1};
+    std::vector<proxy_place> m_proxies;
     traffic_counters m_counters;
     engine m_engine;
     std::map<std::string, std::unique_ptr<pool>, std::less<>> m_pools;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -14,7 +14,7 @@
     for (auto& [name, backends] : m_pools) {
         backends->start_epoch(boot_clock::now());
     }
-    set_proxies(m_proxies);
+    share_connections_anew();
 }
 
 template <routing::link_connector Connector>
@@ -40,14 +40,73 @@
 }
 
 template <routing::link_connector Connector>
-void traffic<Connector>::set_proxies(std::size_t proxies) {
-    m_proxies = proxies;
+void traffic<Connector>::set_proxies(std::vector<proxy_place> proxies) {
+    m_proxies = std::move(proxies);
+    share_connections_anew();
+}
+
+template <routing::link_connector Connector>
+ownership traffic<Connector>::share_of(const std::string& service) const {
+    const auto limits = m_config.services.find(service);
+    if (limits == m_config.services.end() || m_proxies.empty()) {
+        return {};
+    }
+    return share_connections(service, limits->second.max_connections, m_proxies);
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::share_connections_anew() {
     for (auto& [name, backends] : m_pools) {
-        const auto limits = m_config.services.find(name);
-        if (limits != m_config.services.end()) {
-            backends->set_budget(routing::connections_per_proxy(limits->second.max_connections, proxies));
+        const auto shared = share_of(name);
+        // One that was an owner until now still serves the sessions it has.
+        backends->set_budget(shared.owns(m_name) ? shared.connections_each : 1);
+    }
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_owner(const std::string& database,
+                                                                                       std::uint64_t session) {
+    const auto route = m_config.routes.find(database);
+    const auto shared = share_of(route->second.service);
+    if (shared.owns(m_name)) {
+        co_return nullptr;
+    }
+    for (const auto& owner : relay_order(shared, m_data_center, session)) {
+        auto opened = co_await m_connector.open_relay(owner.callers, database, boot_clock::now() + owner_limit);
+        if (opened != nullptr) {
+            co_return opened;
         }
+        log_event(event::connect_failed, "owner=" + owner.name + " database=" + database + " reason=relay");
+    }
+    co_return nullptr;
+}
+
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> traffic<Connector>::relay(conversation& with, typename Connector::relay& owner,
+                                                      const sql::request& asked) {
+    const auto route = m_config.routes.find(with.state.database);
+    const auto limit = route == m_config.routes.end() ? owner_limit : route->second.statement_timeout;
+    auto out = co_await owner.ask(asked, boot_clock::now() + limit + owner_slack);
+    if (!out) {
+        const auto kind = asked.what.kind;
+        const bool may_write = kind == sql::statement_kind::write || kind == sql::statement_kind::execute;
+        out = unanswered_by_owner(asked, with.relayed_state, may_write);
+        log_event(event::outcome_unknown,
+                  "request=" + asked.id + " database=" + with.state.database + " reason=owner_gone answer=" +
+                      std::string{out->error ? sql::to_string(out->error->why) : "rolled_back"});
     }
+    with.relayed_state = out->state;
+    co_return *out;
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::count(const sql::reply& out, boot_clock::time_point arrival) {
+    if (out.error) {
+        m_counters.count_refusal(out.error->why);
+        return;
+    }
+    ++m_counters.statements_served;
+    m_counters.served_in.record(boot_clock::now() - arrival);
 }
 
 template <routing::link_connector Connector>
@@ -55,7 +114,7 @@
     auto& found = m_pools[service];
     if (found == nullptr) {
         found = std::make_unique<pool>(m_executor, m_connector, service, m_data_center);
-        set_proxies(m_proxies);
+        share_connections_anew();
         share_servers();
     }
     return *found;
@@ -118,10 +177,18 @@
     with.status.close_if_quiet = [&caller] { caller.close_if_quiet(); };
     m_sessions.insert(&with);
     ++m_counters.sessions_opened;
+    relay_ptr owner;
+    if (!opening->relayed) {
+        owner = co_await find_owner(with.state.database, with.state.id);
+    }
     caller.welcome();
     bool answered = false;
     for (;;) {
-        with.status.resting = !with.open;
+        with.status.resting = !with.open && with.relayed_state == sql::transaction_state::idle;
+        if (owner && !owner->open() && with.status.resting && caller.close_if_quiet()) {
+            // The owner ended the session at rest: the caller opens another.
+            break;
+        }
         // A request that has arrived is still answered: the caller could not
         // know that the session was about to end.
         const bool closing = m_closing_resting || (m_closing && answered);
@@ -132,13 +199,13 @@
         with.status.resting = false;
         if (const auto* asked = std::get_if<sql::request>(&happened)) {
             const auto arrival = boot_clock::now();
-            auto out = co_await answer(with, *asked);
-            if (out.error) {
-                m_counters.count_refusal(out.error->why);
+            sql::reply out;
+            if (owner) {
+                out = co_await relay(with, *owner, *asked);
             } else {
-                ++m_counters.statements_served;
-                m_counters.served_in.record(boot_clock::now() - arrival);
+                out = co_await answer(with, *asked);
             }
+            count(out, arrival);
             caller.send(out);
             answered = true;
             continue;
@@ -159,6 +226,9 @@
     if (with.open) {
         m_engine.undo(*with.open);
     }
+    if (owner) {
+        owner->close();
+    }
     m_sessions.erase(&with);
     caller.close();
 }
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -146,8 +146,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(anything_else_is_not_a_message) {
-    for (const auto* bytes : {"", "cl1", "cl2 q 1 a 1 1 1 1", "cl1 x 1 a 1 1 1 1", "cl1 q one a 1 1 1 1",
-                              "cl1 q 1 a 1 1 1 1 stock p 1", "cl1 q 1 a 1 1 1 1 stock p 1 1 .s 5 1"}) {
+    for (const auto* bytes : {"", "cl1", "cl2 q 1 a 1 1 1 1", "cl1 x 1 a d 1 1 1 1", "cl1 q one a d 1 1 1 1",
+                              "cl1 q 1 a d 1 1 1 1 stock p 1", "cl1 q 1 a d 1 1 1 1 stock p 1 1 .s 5 1"}) {
         BOOST_TEST(!cluster::decode(bytes), bytes);
     }
 }
@@ -156,7 +156,7 @@
     using namespace cornellever::cluster;
     membership members{"b"};
     const asio::ip::udp::endpoint where{asio::ip::make_address("10.0.0.1"), 7000};
-    members.learn("a", where, start);
+    members.learn("a", "here", where, start);
     BOOST_TEST(members.counted() == 2U);
     BOOST_TEST(members.able(start).size() == 1U);
     peer_message message{.sender = "a", .incarnation = 1};
@@ -233,7 +233,8 @@
     store.feeds.push_back(fail(errc::behind, "gone"));
     store.lists.push_back(cluster::store_rows{{{"a", "3", 9, false}}, 9, 0ms});
     std::vector<std::pair<std::size_t, std::string>> seen_rows;
-    cluster::table_follower follower{store, "t", 10ms, [&](const cluster::table_rows& rows, std::uint64_t) {
+    cluster::table_follower follower{store, "t", [] { return 10ms; },
+                                     [&](const cluster::table_rows& rows, std::uint64_t) {
                                          seen_rows.emplace_back(rows.size(), rows.at("a").value);
                                      }};
     asio::co_spawn(io, follower.run(), asio::detached);
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -185,9 +185,54 @@
     bool m_lost{false};
 };
 
+/// A proxy that owns connections.
+struct fake_owner {
+    std::vector<std::string> asked{};
+    /// It is gone after so many answers.
+    int answers{1000};
+};
+
+/// A session at a fake owner (session::relayed_session).
+class fake_relay {
+public:
+    explicit fake_relay(fake_owner& owner) : m_owner{owner} {}
+
+    asio::awaitable<std::optional<sql::reply>> ask(const sql::request& request, boot_clock::time_point) {
+        m_owner.asked.push_back(request.id);
+        if (m_owner.answers-- <= 0) {
+            m_open = false;
+            co_return std::nullopt;
+        }
+        sql::reply out;
+        out.signature = "owner-" + request.id;
+        out.state = request.what.kind == sql::statement_kind::begin ? sql::transaction_state::open : m_state;
+        m_state = out.state;
+        co_return out;
+    }
+    [[nodiscard]] bool open() const { return m_open; }
+    void close() { m_open = false; }
+
+private:
+    fake_owner& m_owner;
+    sql::transaction_state m_state{sql::transaction_state::idle};
+    bool m_open{true};
+};
+
 /// Opens connections to fake servers by id (routing::link_connector).
 struct fake_connector {
     using link = fake_link;
+    using relay = fake_relay;
+
+    /// Sessions at other proxies by their port: what they answer.
+    std::map<unsigned short, fake_owner> owners;
+
+    asio::awaitable<std::unique_ptr<fake_relay>> open_relay(tcp::endpoint owner, std::string, boot_clock::time_point) {
+        const auto found = owners.find(owner.port());
+        if (found == owners.end()) {
+            co_return nullptr;
+        }
+        co_return std::make_unique<fake_relay>(found->second);
+    }
 
     std::map<std::string, fake_server> servers;
 
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -14,17 +14,28 @@
 
 namespace {
 
+/// Proxies `a`, `b` and so on in two data centres.
+std::vector<session::proxy_place> places(std::size_t count) {
+    std::vector<session::proxy_place> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.push_back({std::string(1, static_cast<char>('a' + i)),
+                       i % 2 == 0 ? "here" : "there",
+                       {asio::ip::make_address("10.0.0.1"), static_cast<unsigned short>(1000 + i)}});
+    }
+    return out;
+}
+
 /// A proxy in memory before three fake servers.
 struct proxy_in_memory {
     event_loop io;
     fake_connector connector;
-    session::traffic<fake_connector> host{io.get_executor(), connector, "here"};
+    session::traffic<fake_connector> host{io.get_executor(), connector, "a", "here"};
 
     proxy_in_memory() {
         connector.servers["p"].leads = true;
         host.update(three_databases());
         host.update(three_servers());
-        host.set_proxies(3);
+        host.set_proxies(places(3));
     }
 
     fake_server& server(const std::string& id) { return connector.servers[id]; }
@@ -236,7 +247,7 @@
 // that caller before.
 BOOST_AUTO_TEST_CASE(a_connection_holds_exactly_the_values_of_the_session_that_uses_it) {
     proxy_in_memory proxy;
-    proxy.host.set_proxies(1000);
+    proxy.host.set_proxies(places(11));
     caller_script first{.events = {opening("strict"), ask("s1", statement_kind::set, "a1", "alpha"),
                                    ask("s2", statement_kind::set, "b1", "beta"), ask("r1", statement_kind::read, "1")}};
     caller_script second{.events = {opening("strict"), ask("s3", statement_kind::set, "a2", "alpha"),
@@ -342,4 +353,53 @@
     BOOST_TEST(caller.answers[0].error->text.find("retry after") != std::string::npos);
 }
 
+// Most sessions are refused although the servers are idle: there are more
+// proxies than connections that a server takes, and each held one at most.
+BOOST_AUTO_TEST_CASE(a_proxy_without_connections_relays_to_one_that_owns_them) {
+    proxy_in_memory proxy;
+    auto config = three_databases(2);
+    config.services["stock"].max_connections = 5;
+    proxy.host.update(config);
+    const auto shared = session::share_connections("stock", 5, places(20));
+    BOOST_TEST_REQUIRE(shared.owners.size() == 1U);
+    BOOST_TEST_REQUIRE(!shared.owns("a"));
+    proxy.host.set_proxies(places(20));
+    auto& owner = proxy.connector.owners[shared.owners.front().callers.port()];
+    owner.answers = 3;
+    caller_script caller{.events = {opening("strict"), ask("r", statement_kind::read, "1"),
+                                    ask("b", statement_kind::begin), ask("w", statement_kind::write, "1 x"),
+                                    ask("c", statement_kind::commit)}};
+    proxy.play({&caller});
+    BOOST_TEST(caller.answers[0].signature == "owner-r");
+    BOOST_TEST(proxy.server("p").met.empty());
+    // The owner is gone before it answers the commit: it may have run.
+    BOOST_TEST((why(caller, 3) == refusal::outcome_unknown));
+    // A session that another proxy relayed is served here.
+    caller_script relayed{.events = {session::session_opening{"strict", true}, ask("q", statement_kind::read, "1")}};
+    proxy.play({&relayed});
+    BOOST_TEST(proxy.server("p").of("q").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(owners_are_the_same_for_all_and_spread_over_data_centres) {
+    const auto shared = session::share_connections("stock", 22, places(20));
+    BOOST_TEST(shared.owners.size() == 6U);
+    BOOST_TEST(shared.owners.size() * shared.connections_each <= 20U);
+    auto turned = places(20);
+    std::ranges::reverse(turned);
+    BOOST_TEST((session::share_connections("stock", 22, turned).owners == shared.owners));
+    const auto here = std::ranges::count(shared.owners, "here", &session::proxy_place::data_center);
+    BOOST_TEST(here == 3);
+    const auto order = session::relay_order(shared, "there", 7);
+    BOOST_TEST(order.size() == 6U);
+    BOOST_TEST(order.front().data_center == "there");
+    // One proxy more moves at most two owners.
+    const auto more = session::share_connections("stock", 22, places(21));
+    std::size_t kept = 0;
+    for (const auto& item : shared.owners) {
+        kept += more.owns(item.name) ? 1 : 0;
+    }
+    BOOST_TEST(kept >= 4U);
+    BOOST_TEST(session::share_connections("stock", 16, places(7)).owners.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/wire.cpp
+++ b/tests/unit/wire.cpp
@@ -174,10 +174,9 @@
     servers.servers["p"].address = primary.address();
     servers.servers["r1"].address = replica.address();
     platform::backend_connector connector{io.get_executor(), "proxy"};
-    platform::traffic host{io.get_executor(), connector, "here"};
+    platform::traffic host{io.get_executor(), connector, "a", "here"};
     host.update(test::three_databases());
     host.update(servers);
-    host.set_proxies(1000);
     platform::caller_listener callers{io.get_executor(), host};
     const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 37311};
     BOOST_TEST_REQUIRE(callers.start(here).has_value());
