--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -168,6 +168,8 @@
     time_point m_behind_since{};
     bool m_catching_up{false};
     bool m_leaving{false};
+    /// The others were read from the store.
+    bool m_listed{false};
     std::vector<session::proxy_place> m_places;
     std::minstd_rand m_random{std::random_device{}()};
 };
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -98,10 +98,12 @@
                                     boot_clock::now());
                 }
             }
+            m_listed = true;
             break;
         }
         co_await sleep_for(pause);
     }
+    share_budget();
     ask_peers();
 }
 
@@ -316,7 +318,7 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::share_budget() {
-    if (boot_clock::now() - m_started < unknown_for) {
+    if (!m_listed && boot_clock::now() - m_started < unknown_for) {
         return;
     }
     std::vector<session::proxy_place> places{{m_settings.name, m_settings.data_center, m_settings.callers}};
--- a/src/cornellever/cluster/primary_judge.cpp
+++ b/src/cornellever/cluster/primary_judge.cpp
@@ -37,8 +37,7 @@
     return !view.unreachable && view.heard_age < seen_lately;
 }
 
-primary_verdict judge_missing(const primary_evidence& evidence) {
-    const auto missing = *evidence.entry.missing_for;
+primary_verdict judge_missing(const primary_evidence& evidence, milliseconds missing) {
     const bool heard = (evidence.own && sees_it(*evidence.own)) || std::ranges::any_of(evidence.peers, sees_it);
     if (missing >= missing_for_good) {
         return heard ? primary_verdict::leaving : primary_verdict::lost;
@@ -53,7 +52,8 @@
 
 primary_verdict judge(const primary_evidence& evidence) {
     if (evidence.entry.missing_for) {
-        if (const auto verdict = judge_missing(evidence); verdict != primary_verdict::fine) {
+        if (const auto verdict = judge_missing(evidence, *evidence.entry.missing_for);
+            verdict != primary_verdict::fine) {
             return verdict;
         }
     }
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -59,9 +59,11 @@
     using entry = pool_entry<link>;
     using time_point = boot_clock::time_point;
 
-    /// A connection handed out; closed on destruction unless it was released.
+    /// A connection handed out, or none; closed on destruction unless it was
+    /// released.
     class lease {
     public:
+        lease() = default;
         lease(service_pool& pool, slot& held) : m_pool{&pool}, m_slot{&held} {}
         lease(lease&& other) noexcept : m_pool{other.m_pool}, m_slot{std::exchange(other.m_slot, nullptr)} {}
         lease& operator=(lease&& other) noexcept {
@@ -74,6 +76,7 @@
         }
         ~lease() { drop(); }
 
+        explicit operator bool() const noexcept { return m_slot != nullptr; }
         slot* operator->() const noexcept { return m_slot; }
         slot& operator*() const noexcept { return *m_slot; }
         [[nodiscard]] const backend_server& server() const noexcept { return m_slot->home->server; }
@@ -90,8 +93,8 @@
         }
 
     private:
-        service_pool* m_pool;
-        slot* m_slot;
+        service_pool* m_pool{nullptr};
+        slot* m_slot{nullptr};
     };
 
     service_pool(asio::any_io_executor executor, Connector& connector, std::string service, std::string data_center)
@@ -117,8 +120,9 @@
     /// Takes the registered servers of the service.
     void update(const std::vector<const backend_server*>& servers);
 
-    /// A connection for `want`, waiting for one until `want.until`.
-    asio::awaitable<std::optional<lease>> acquire(connection_want want);
+    /// A connection for `want`, waiting for one until `want.until`; none when
+    /// that passes.
+    asio::awaitable<lease> acquire(connection_want want);
 
     /// Housekeeping, every `housekeeping_period`.
     void tick();
@@ -138,7 +142,7 @@
         }
     }
 
-    void note_behind(entry& from, const sql::log_position& floor) {
+    void note_behind(entry& from, const std::optional<sql::log_position>& floor) {
         from.lacked = floor;
         from.lacked_at = boot_clock::now();
     }
@@ -209,8 +213,8 @@
 private:
     struct waiter {
         connection_want want;
-        int priority;
-        time_point until;
+        int priority{0};
+        time_point until{};
         asio::steady_timer timer;
         slot* granted{nullptr};
     };
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -139,8 +139,7 @@
 }
 
 template <link_connector Connector>
-asio::awaitable<std::optional<typename service_pool<Connector>::lease>>
-service_pool<Connector>::acquire(connection_want want) {
+asio::awaitable<typename service_pool<Connector>::lease> service_pool<Connector>::acquire(connection_want want) {
     m_used = true;
     if (auto* found = grab(want); found != nullptr) {
         co_return lease{*this, *found};
@@ -158,7 +157,7 @@
     }
     if (self.granted == nullptr) {
         m_line.leave(self);
-        co_return std::nullopt;
+        co_return lease{};
     }
     co_return lease{*this, *self.granted};
 }
@@ -239,7 +238,7 @@
         held.armed = true;
         held.armed_at = held.sent_at;
         note_primary(at, held.sent_at, last->position);
-    } else if (last->error && last->error->why == sql::refusal::not_primary) {
+    } else if (!last->ok() && last->why() == sql::refusal::not_primary) {
         note_not_primary(at);
     }
     if (last->state == sql::transaction_state::failed) {
@@ -304,7 +303,7 @@
         held.armed = true;
         held.armed_at = held.sent_at;
         note_primary(at, held.sent_at, answer->position);
-    } else if (answer->error->why == sql::refusal::not_primary) {
+    } else if (answer->why() == sql::refusal::not_primary) {
         note_not_primary(at);
     }
     make_idle(held);
@@ -346,6 +345,7 @@
 asio::awaitable<void> service_pool<Connector>::seek_primary() {
     while (m_primary.empty()) {
         std::vector<std::string> ids;
+        ids.reserve(m_entries.size());
         for (const auto& [id, at] : m_entries) {
             ids.push_back(id);
         }
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -50,7 +50,7 @@
         bool read_only{false};
         bool wrote{false};
         bool failed{false};
-        std::optional<lease> pinned{};
+        lease pinned{};
     };
 
     explicit statement_engine(traffic_counters& counters) : m_counters{counters} {}
@@ -71,8 +71,8 @@
     asio::awaitable<void> await_sample(pool& backends, const statement_run& run, bool needs_primary);
     [[nodiscard]] std::optional<sql::reply> admit(pool& backends, const statement_run& run, bool primary,
                                                   time_point& wait_until);
-    asio::awaitable<std::optional<lease>> connection_for(pool& backends, const statement_run& run,
-                                                         routing::connection_want& want, sql::reply& refusal);
+    asio::awaitable<lease> connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
+                                          sql::reply& refusal);
     asio::awaitable<bool> arm(pool& backends, lease& held, time_point until);
     [[nodiscard]] std::vector<sql::command> batch_for(lease& held, const statement_run& run,
                                                       const std::optional<sql::log_position>& floor,
@@ -84,7 +84,8 @@
     verdict judge_write(pool& backends, lease& held, const statement_run& run, const routing::link_reply& got,
                         sql::reply& out);
     asio::awaitable<bool> pin(transaction& inside, const statement_run& run, sql::reply& refusal);
-    asio::awaitable<bool> open_read_only(pool& backends, lease& held, const sql::log_position& floor, time_point until);
+    asio::awaitable<bool> open_read_only(pool& backends, lease& held, const std::optional<sql::log_position>& floor,
+                                         time_point until);
     sql::reply fail_inside(transaction& inside, const statement_run& run, std::string_view reason);
     sql::reply finish_commit(transaction& inside, const statement_run& run, const routing::link_reply& got);
     [[nodiscard]] static sql::command command_of(const statement_run& run);
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -93,26 +93,26 @@
 
 /// A connection, or the refusal to answer with.
 template <routing::link_connector Connector>
-asio::awaitable<std::optional<typename statement_engine<Connector>::lease>>
+asio::awaitable<typename statement_engine<Connector>::lease>
 statement_engine<Connector>::connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
                                             sql::reply& refusal) {
     const auto asked = boot_clock::now();
     if (auto refused = admit(backends, run, want.primary, want.until)) {
         refusal = std::move(*refused);
-        co_return std::nullopt;
+        co_return lease{};
     }
     auto held = co_await backends.acquire(want);
     m_counters.waited_for_connection.record(boot_clock::now() - asked);
     if (!held) {
         refusal = refused_for_now(want.primary && backends.primary().empty() ? "no primary" : "no connection in time",
                                   std::chrono::milliseconds{100});
-        co_return std::nullopt;
+        co_return lease{};
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - boot_clock::now());
     if (!routing::worth_starting(load_of(backends, run, want.primary), left)) {
-        held->release();
+        held.release();
         refusal = refused_for_now("too late to run", std::chrono::milliseconds{100});
-        co_return std::nullopt;
+        co_return lease{};
     }
     co_return held;
 }
@@ -144,7 +144,7 @@
         backends.note_primary(at, held->sent_at, answer->position);
         co_return true;
     }
-    if (answer->error->why == sql::refusal::not_primary) {
+    if (answer->why() == sql::refusal::not_primary) {
         backends.note_not_primary(at);
     }
     co_return false;
@@ -201,26 +201,27 @@
     for (;;) {
         auto held = co_await connection_for(backends, run, want, out);
         if (!held) {
-            log_decision(event::request_refused, run, backends.primary(), out.error->text);
+            log_decision(event::request_refused, run, backends.primary(),
+                         out.error.value_or(sql::statement_error{}).text);
             break;
         }
-        if ((want.primary || (*held)->armed) && !run.writes()) {
-            const bool armed = co_await arm(backends, *held, run.until());
+        if ((want.primary || held->armed) && !run.writes()) {
+            const bool armed = co_await arm(backends, held, run.until());
             if (!armed) {
-                held->release();
+                held.release();
                 continue;
             }
         }
         std::size_t wanted = 0;
-        auto batch = batch_for(*held, run, want.floor, wanted);
+        auto batch = batch_for(held, run, want.floor, wanted);
         const auto until = run.writes() ? run.until() : std::min(run.until(), boot_clock::now() + read_try_limit);
-        auto got = co_await exchange(backends, *held, std::move(batch), wanted, until);
-        const auto what = run.writes() ? judge_write(backends, *held, run, got, out)
-                                       : judge_read(backends, *held, run, want, got, out);
+        auto got = co_await exchange(backends, held, std::move(batch), wanted, until);
+        const auto what =
+            run.writes() ? judge_write(backends, held, run, got, out) : judge_read(backends, held, run, want, got, out);
         if (what == verdict::answered && out.ok()) {
-            log_served(backends, *held, run, want.primary ? std::nullopt : want.floor);
+            log_served(backends, held, run, want.primary ? std::nullopt : want.floor);
         }
-        held->release();
+        held.release();
         if (what == verdict::answered) {
             break;
         }
@@ -247,13 +248,11 @@
         out = *got;
         return verdict::answered;
     } else {
-        const auto why = got->error->why;
+        const auto why = got->why();
         log_decision(event::statement_retried, run, id, sql::to_string(why));
         switch (why) {
         case sql::refusal::behind:
-            if (want.floor) {
-                backends.note_behind(at, *want.floor);
-            }
+            backends.note_behind(at, want.floor);
             want.avoid.push_back(id);
             break;
         case sql::refusal::not_primary:
@@ -318,7 +317,7 @@
         out = *got;
         return verdict::answered;
     }
-    const auto why = got->error->why;
+    const auto why = got->why();
     if (why == sql::refusal::not_primary) {
         backends.note_not_primary(at);
     }
@@ -327,8 +326,8 @@
     }
     if (!sql::server_did_not_run(why)) {
         log_decision(event::outcome_unknown, run, id, sql::to_string(why));
-        out = refused(why == sql::refusal::malformed ? sql::refusal::outcome_unknown : why, got->error->text,
-                      sql::transaction_state::idle);
+        out = refused(why == sql::refusal::malformed ? sql::refusal::outcome_unknown : why,
+                      got->error.value_or(sql::statement_error{}).text, sql::transaction_state::idle);
         return verdict::answered;
     }
     log_decision(event::statement_retried, run, id, sql::to_string(why));
@@ -341,7 +340,8 @@
 
 template <routing::link_connector Connector>
 asio::awaitable<bool> statement_engine<Connector>::open_read_only(pool& backends, lease& held,
-                                                                  const sql::log_position& floor, time_point until) {
+                                                                  const std::optional<sql::log_position>& floor,
+                                                                  time_point until) {
     std::vector<sql::command> batch;
     batch.push_back(sql::own(sql::statement_kind::begin_read_only));
     batch.back().after = floor;
@@ -353,7 +353,7 @@
         co_return false;
     }
     backends.heard(at, std::nullopt);
-    if (!answer->ok() && answer->error->why == sql::refusal::behind) {
+    if (!answer->ok() && answer->why() == sql::refusal::behind) {
         backends.note_behind(at, floor);
     }
     co_return answer->ok();
@@ -369,27 +369,28 @@
     for (;;) {
         auto held = co_await connection_for(backends, run, want, refusal);
         if (!held) {
-            log_decision(event::request_refused, run, backends.primary(), refusal.error->text);
+            log_decision(event::request_refused, run, backends.primary(),
+                         refusal.error.value_or(sql::statement_error{}).text);
             co_return false;
         }
         bool opened = false;
-        if (want.primary || (*held)->armed) {
-            opened = co_await arm(backends, *held, run.until());
+        if (want.primary || held->armed) {
+            opened = co_await arm(backends, held, run.until());
         } else {
-            opened = co_await open_read_only(backends, *held, *want.floor, run.until());
+            opened = co_await open_read_only(backends, held, want.floor, run.until());
         }
         if (opened) {
-            inside.pinned.emplace(std::move(*held));
+            inside.pinned = std::move(held);
             co_return true;
         }
         if (!want.primary) {
-            want.avoid.push_back(held->server().id);
+            want.avoid.push_back(held.server().id);
             want.primary = want.avoid.size() + 1 >= backends.entries().size();
             if (want.primary) {
                 want.avoid.clear();
             }
         }
-        held->release();
+        held.release();
         ++m_counters.statements_retried;
     }
 }
@@ -397,7 +398,7 @@
 template <routing::link_connector Connector>
 sql::reply statement_engine<Connector>::fail_inside(transaction& inside, const statement_run& run,
                                                     std::string_view reason) {
-    log_decision(event::transaction_failed, run, inside.pinned ? inside.pinned->server().id : "-", reason);
+    log_decision(event::transaction_failed, run, inside.pinned ? inside.pinned.server().id : "-", reason);
     undo(inside);
     inside.failed = true;
     return refused(sql::refusal::aborted, std::string{reason} + "; nothing of the transaction is kept",
@@ -407,7 +408,7 @@
 template <routing::link_connector Connector>
 sql::reply statement_engine<Connector>::finish_commit(transaction& inside, const statement_run& run,
                                                       const routing::link_reply& got) {
-    auto& held = *inside.pinned;
+    auto& held = inside.pinned;
     auto& at = *held->home;
     sql::reply out;
     if (got && got->ok()) {
@@ -417,7 +418,7 @@
             run.session.last_commit = got->position;
             inside.backends->note_primary(at, held->sent_at, got->position);
         }
-    } else if (!inside.wrote || (got && sql::server_did_not_run(got->error->why)) ||
+    } else if (!inside.wrote || (got && sql::server_did_not_run(got->why())) ||
                (!got && got.error() == routing::link_failure::not_sent)) {
         out = refused(sql::refusal::aborted, "the commit did not run", sql::transaction_state::idle);
         log_decision(event::transaction_failed, run, at.server.id, "commit_not_run");
@@ -429,7 +430,6 @@
     }
     out.state = sql::transaction_state::idle;
     held.release();
-    inside.pinned.reset();
     return out;
 }
 
@@ -446,7 +446,7 @@
             co_return refusal;
         }
     }
-    auto& held = *inside.pinned;
+    auto& held = inside.pinned;
     const bool on_primary = held->armed;
     std::vector<sql::command> batch;
     for (auto& item : plan_replay(run.session, held->memory, run.prepared)) {
@@ -469,10 +469,10 @@
         co_return fail_inside(inside, run, routing::to_string(got.error()));
     }
     if (got->error) {
-        if (got->error->why == sql::refusal::not_primary) {
+        if (got->why() == sql::refusal::not_primary) {
             inside.backends->note_not_primary(*held->home);
         }
-        co_return fail_inside(inside, run, sql::to_string(got->error->why));
+        co_return fail_inside(inside, run, sql::to_string(got->why()));
     }
     log_served(*inside.backends, held, run, std::nullopt);
     auto out = *got;
@@ -486,7 +486,7 @@
         return;
     }
     ++m_counters.transactions_undone;
-    auto& held = *inside.pinned;
+    auto& held = inside.pinned;
     std::vector<sql::command> batch;
     batch.push_back(sql::own(sql::statement_kind::rollback));
     if (std::exchange(held->armed, false)) {
@@ -497,7 +497,6 @@
         held->connection->close();
     }
     held.release();
-    inside.pinned.reset();
 }
 
 } // namespace cornellever::session
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -101,7 +101,9 @@
     };
 
     void share_servers();
-    [[nodiscard]] ownership share_of(const std::string& service) const;
+    [[nodiscard]] bool owns(const std::string& database);
+    asio::awaitable<void> await_proxies();
+    [[nodiscard]] const ownership& share_of(const std::string& service);
     void share_connections_anew();
     using relay_ptr = std::unique_ptr<typename Connector::relay>;
     asio::awaitable<relay_ptr> find_owner(const std::string& database, std::uint64_t session);
@@ -121,6 +123,8 @@
     /// An owner that is well takes a session in a few round trips; a caller
     /// gives up after 2 s.
     static constexpr std::chrono::milliseconds owner_limit{300};
+    /// A caller gives up an opening after 2 s.
+    static constexpr std::chrono::milliseconds proxies_limit{1000};
     /// The owner answers by the statement's timeout itself.
     static constexpr std::chrono::milliseconds owner_slack{300};
 
@@ -131,6 +135,8 @@
     routing::configuration m_config;
     routing::registry m_registry;
     std::vector<proxy_place> m_proxies;
+    /// By service, worked out when first asked for.
+    std::map<std::string, ownership, std::less<>> m_shares;
     traffic_counters m_counters;
     engine m_engine;
     std::map<std::string, std::unique_ptr<pool>, std::less<>> m_pools;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -46,27 +46,47 @@
 }
 
 template <routing::link_connector Connector>
-ownership traffic<Connector>::share_of(const std::string& service) const {
+const ownership& traffic<Connector>::share_of(const std::string& service) {
+    auto [at, missing] = m_shares.try_emplace(service);
     const auto limits = m_config.services.find(service);
-    if (limits == m_config.services.end() || m_proxies.empty()) {
-        return {};
+    if (missing && limits != m_config.services.end() && !m_proxies.empty()) {
+        at->second = share_connections(service, limits->second.max_connections, m_proxies);
     }
-    return share_connections(service, limits->second.max_connections, m_proxies);
+    return at->second;
 }
 
 template <routing::link_connector Connector>
 void traffic<Connector>::share_connections_anew() {
+    m_shares.clear();
     for (auto& [name, backends] : m_pools) {
-        const auto shared = share_of(name);
+        const auto& shared = share_of(name);
         // One that was an owner until now still serves the sessions it has.
         backends->set_budget(shared.owns(m_name) ? shared.connections_each : 1);
     }
 }
 
+template <routing::link_connector Connector>
+bool traffic<Connector>::owns(const std::string& database) {
+    const auto route = m_config.routes.find(database);
+    return route == m_config.routes.end() || share_of(route->second.service).owns(m_name);
+}
+
+/// A proxy that has just started does not know yet who owns connections. If it
+/// opened its own meanwhile, after an outage of all proxies each server would
+/// be full before its owners came.
+template <routing::link_connector Connector>
+asio::awaitable<void> traffic<Connector>::await_proxies() {
+    const auto until = boot_clock::now() + proxies_limit;
+    while (m_proxies.empty() && boot_clock::now() < until) {
+        co_await sleep_for(std::chrono::milliseconds{20});
+    }
+}
+
 template <routing::link_connector Connector>
 asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_owner(const std::string& database,
                                                                                        std::uint64_t session) {
     const auto route = m_config.routes.find(database);
+    // A copy: proxies may come and go while owners are tried.
     const auto shared = share_of(route->second.service);
     if (shared.owns(m_name)) {
         co_return nullptr;
@@ -91,9 +111,9 @@
         const auto kind = asked.what.kind;
         const bool may_write = kind == sql::statement_kind::write || kind == sql::statement_kind::execute;
         out = unanswered_by_owner(asked, with.relayed_state, may_write);
-        log_event(event::outcome_unknown,
-                  "request=" + asked.id + " database=" + with.state.database + " reason=owner_gone answer=" +
-                      std::string{out->error ? sql::to_string(out->error->why) : "rolled_back"});
+        log_event(event::outcome_unknown, "request=" + asked.id + " database=" + with.state.database +
+                                              " reason=owner_gone answer=" +
+                                              std::string{out->ok() ? "rolled_back" : sql::to_string(out->why())});
     }
     with.relayed_state = out->state;
     co_return *out;
@@ -179,6 +199,7 @@
     ++m_counters.sessions_opened;
     relay_ptr owner;
     if (!opening->relayed) {
+        co_await await_proxies();
         owner = co_await find_owner(with.state.database, with.state.id);
     }
     caller.welcome();
@@ -191,7 +212,10 @@
         }
         // A request that has arrived is still answered: the caller could not
         // know that the session was about to end.
-        const bool closing = m_closing_resting || (m_closing && answered);
+        // Served here although others own the connections: the session began
+        // before they were known. Its caller's next one is relayed.
+        const bool moves = answered && !opening->relayed && owner == nullptr && !owns(with.state.database);
+        const bool closing = m_closing_resting || ((m_closing || moves) && answered);
         if (closing && with.status.resting && caller.close_if_quiet()) {
             break;
         }
--- a/src/cornellever/sql/reply.hpp
+++ b/src/cornellever/sql/reply.hpp
@@ -46,6 +46,9 @@
     std::optional<log_position> position{};
 
     [[nodiscard]] bool ok() const noexcept { return !error; }
+
+    /// Why it had no success; `failed` for an answer that had.
+    [[nodiscard]] refusal why() const noexcept { return error ? error->why : refusal::failed; }
 };
 
 /// The lower-case name of a refusal, for logs and metrics.
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -380,6 +380,21 @@
     BOOST_TEST(proxy.server("p").of("q").size() == 1U);
 }
 
+// Two fifths of the requests are refused for good after all proxies were off:
+// the sessions that came first stayed with proxies that own no connections.
+BOOST_AUTO_TEST_CASE(a_session_that_began_before_owners_were_known_moves_to_one) {
+    proxy_in_memory proxy;
+    auto config = three_databases(2);
+    config.services["stock"].max_connections = 5;
+    proxy.host.update(config);
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    caller.before[1] = [&] { proxy.host.set_proxies(places(20)); };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 0));
+    BOOST_TEST(caller.closed);
+    BOOST_TEST(caller.taken == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(owners_are_the_same_for_all_and_spread_over_data_centres) {
     const auto shared = session::share_connections("stock", 22, places(20));
     BOOST_TEST(shared.owners.size() == 6U);
--- a/tests/unit/wire.cpp
+++ b/tests/unit/wire.cpp
@@ -39,12 +39,12 @@
         peer.write(line + "\r\n");
         std::string got;
         while (!got.starts_with("READY")) {
-            const auto waited = co_await peer.wait_line(boot_clock::now() + 5s);
-            if (waited != platform::line_socket::wait_result::line) {
+            const auto line = co_await peer.next_line(boot_clock::now() + 5s);
+            if (!line) {
                 transcript += "< (closed)\n";
                 co_return;
             }
-            got = *peer.take();
+            got = *line;
             transcript += "< " + got + "\n";
         }
         // Lets the replicas' connections open and settle, so that each
@@ -177,6 +177,7 @@
     platform::traffic host{io.get_executor(), connector, "a", "here"};
     host.update(test::three_databases());
     host.update(servers);
+    host.set_proxies({{"a", "here", {}}, {"b", "here", {}}, {"c", "there", {}}});
     platform::caller_listener callers{io.get_executor(), host};
     const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 37311};
     BOOST_TEST_REQUIRE(callers.start(here).has_value());
--- a/tests/unit/wire_server.hpp
+++ b/tests/unit/wire_server.hpp
@@ -45,11 +45,11 @@
         platform::line_socket lines{std::move(socket)};
         session now;
         for (;;) {
-            const auto waited = co_await lines.wait_line(boot_clock::now() + std::chrono::seconds{10});
-            if (waited != platform::line_socket::wait_result::line) {
+            const auto got = co_await lines.next_line(boot_clock::now() + std::chrono::seconds{10});
+            if (!got) {
                 co_return;
             }
-            const auto line = *lines.take();
+            const auto& line = *got;
             if (line.starts_with("STARTUP ")) {
                 const bool mine = line.starts_with("STARTUP " + m_service + " ") && line.ends_with(" " + m_id);
                 lines.write(mine ? "READY I 1.10\r\n" : "ERROR MISROUTED " + m_id + "\r\n");
