Shorter planned stops: restarts of many proxies in turn no longer overlap by half

One waited 5.1 s for a caller resting in a transaction.

Ruled out: a readiness answer of 200 while stopping (503 from the signal on).

--- a/src/cornellever/session/planned_stop.hpp
+++ b/src/cornellever/session/planned_stop.hpp
@@ -17,6 +17,8 @@
     bool close_resting{false};
     /// Transactions still open are undone with their next statement.
     bool end_transactions{false};
+    /// Sessions whose callers rest inside a transaction are closed.
+    bool close_transactions{false};
     /// The process ends.
     bool exit{false};
 };
@@ -38,17 +40,20 @@
         return {.close_answered = since >= noticed,
                 .close_resting = since >= noticed + std::min<boot_clock::duration>(answers_awaited, m_grace / 5),
                 .end_transactions = since >= m_grace / 2,
+                .close_transactions = since >= m_grace * 3 / 5,
                 .exit = since >= m_grace - kill_margin || (since >= noticed + last_answers && sessions == 0)};
     }
 
 private:
     /// The balancer asks once a second and takes a proxy out after two misses;
     /// with the question under way that is at most 2 s and a round trip.
-    static constexpr std::chrono::milliseconds balancer_notices{2200};
-    /// Callers ask about once a second: two thirds of the sessions end behind
-    /// an answer within that time. Closing a resting one cuts the request that
-    /// is on its way, 3 ms, once in 300 closings.
-    static constexpr std::chrono::milliseconds answers_awaited{1100};
+    static constexpr std::chrono::milliseconds balancer_notices{2100};
+    /// Callers ask about once a second: a third of the sessions end behind an
+    /// answer within that time. Closing a resting one cuts the request that is
+    /// on its way, 3 ms, once in 300 closings. Longer stops overlap where many
+    /// proxies are restarted in turn: with 1.1 s half of a data centre's proxies
+    /// were out of the balancer's rotation at once, and it used them all again.
+    static constexpr std::chrono::milliseconds answers_awaited{400};
     /// Connections that were on their way as the balancer noticed.
     static constexpr std::chrono::milliseconds last_answers{150};
     /// Left before the kill, for a slow VM to get to its exit.
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -25,7 +25,8 @@
     /// The caller waits for nothing and has no transaction open: closing the
     /// connection now cuts nothing.
     bool resting{false};
-    bool in_transaction{false};
+    /// The caller is waited for, resting or inside a transaction.
+    bool waited_for{false};
     /// Closes it unless a request has arrived meanwhile.
     std::function<void()> close_if_quiet;
 };
@@ -76,6 +77,9 @@
     /// Ends the sessions that rest; later ones end as they come to rest.
     void close_resting();
 
+    /// Ends the sessions whose callers rest inside a transaction.
+    void close_transactions();
+
     /// From now on open transactions are ended too.
     void end_transactions() { m_ending_transactions = true; }
 
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -161,14 +161,19 @@
 void traffic<Connector>::close_resting() {
     m_closing = true;
     m_closing_resting = true;
-    std::vector<conversation*> resting;
     for (auto* item : m_sessions) {
         if (item->status.resting) {
-            resting.push_back(item);
+            item->status.close_if_quiet();
         }
     }
-    for (auto* item : resting) {
-        item->status.close_if_quiet();
+}
+
+template <routing::link_connector Connector>
+void traffic<Connector>::close_transactions() {
+    for (auto* item : m_sessions) {
+        if (item->status.waited_for && !item->status.resting) {
+            item->status.close_if_quiet();
+        }
     }
 }
 
@@ -219,7 +224,9 @@
         if (closing && with.status.resting && caller.close_if_quiet()) {
             break;
         }
+        with.status.waited_for = true;
         auto happened = co_await caller.next(silence_limit(with));
+        with.status.waited_for = false;
         with.status.resting = false;
         if (const auto* asked = std::get_if<sql::request>(&happened)) {
             const auto arrival = boot_clock::now();
