A request goes on waiting once the primary is found to be lost; probes arm what they open

Found by the test: a probe that had to open a connection never asked the server.

Test: a_request_goes_on_waiting..., failed before.

--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -368,14 +368,20 @@
         co_return;
     }
     auto& at = *found->second;
-    const auto idle = std::ranges::find_if(at.slots, [](const auto& item) { return !item->busy; });
-    if (idle != at.slots.end()) {
-        (*idle)->busy = true;
-        co_await refresh(**idle);
+    if (at.idle() == 0 && at.slots.size() + at.opening < m_budget && boot_clock::now() >= at.open_after) {
+        ++at.opening;
+        co_await open(at);
+    }
+    // Opening may have taken a while: the server may be gone by now.
+    const auto again = m_entries.find(id);
+    if (again == m_entries.end()) {
         co_return;
     }
-    if (at.slots.size() + at.opening < m_budget && boot_clock::now() >= at.open_after) {
-        open_one(at);
+    auto& slots = again->second->slots;
+    const auto idle = std::ranges::find_if(slots, [](const auto& item) { return !item->busy; });
+    if (idle != slots.end()) {
+        (*idle)->busy = true;
+        co_await refresh(**idle);
     }
 }
 
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -97,15 +97,22 @@
 statement_engine<Connector>::connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
                                             sql::reply& refusal) {
     const auto asked = boot_clock::now();
-    if (auto refused = admit(backends, run, want.primary, want.until)) {
-        refusal = std::move(*refused);
-        co_return lease{};
+    lease held;
+    for (;;) {
+        if (auto refused = admit(backends, run, want.primary, want.until)) {
+            refusal = std::move(*refused);
+            co_return lease{};
+        }
+        held = co_await backends.acquire(want);
+        // It may have begun to wait before the primary was found to be lost;
+        // then there is more time than under mere load.
+        if (held || !want.primary || backends.primary_answers()) {
+            break;
+        }
     }
-    auto held = co_await backends.acquire(want);
     m_counters.waited_for_connection.record(boot_clock::now() - asked);
     if (!held) {
-        refusal = refused_for_now(want.primary && backends.primary().empty() ? "no primary" : "no connection in time",
-                                  std::chrono::milliseconds{100});
+        refusal = refused_for_now("no connection in time", std::chrono::milliseconds{100});
         co_return lease{};
     }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - boot_clock::now());
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -111,9 +111,10 @@
         const auto kind = asked.what.kind;
         const bool may_write = kind == sql::statement_kind::write || kind == sql::statement_kind::execute;
         out = unanswered_by_owner(asked, with.relayed_state, may_write);
-        log_event(event::outcome_unknown, "request=" + asked.id + " database=" + with.state.database +
-                                              " reason=owner_gone answer=" +
-                                              std::string{out->ok() ? "rolled_back" : sql::to_string(out->why())});
+        const bool unknown = !out->ok() && out->why() == sql::refusal::outcome_unknown;
+        log_event(unknown ? event::outcome_unknown : event::request_refused,
+                  "request=" + asked.id + " database=" + with.state.database + " reason=owner_gone answer=" +
+                      std::string{out->ok() ? "rolled_back" : sql::to_string(out->why())});
     }
     with.relayed_state = out->state;
     co_return *out;
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -341,6 +341,28 @@
     BOOST_TEST((why(caller, 2) == refusal::aborted));
 }
 
+// Requests are refused in the first moments of a failover although there is
+// time to wait for the new primary: they began to wait when the old one was
+// not known to be lost, for no longer than the latency aimed at.
+BOOST_AUTO_TEST_CASE(a_request_goes_on_waiting_once_the_primary_is_found_to_be_lost) {
+    proxy_in_memory proxy;
+    proxy.server("p").connect_fails = routing::connect_failure::refused;
+    proxy.server("p").leads = false;
+    proxy.server("r1").leads = true;
+    asio::steady_timer promoted{proxy.io, 150ms};
+    promoted.async_wait([&](const boost::system::error_code&) {
+        auto servers = three_servers();
+        servers.version = 2;
+        servers.servers["p"].role = routing::server_role::replica;
+        servers.servers["r1"].role = routing::server_role::primary;
+        proxy.host.update(servers);
+    });
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 0));
+    BOOST_TEST(proxy.server("r1").of("w").size() == 1U);
+}
+
 // A caller waits its whole time although no server can take its request.
 BOOST_AUTO_TEST_CASE(without_any_primary_a_write_is_refused_as_not_run_with_a_time_to_come_back) {
     proxy_in_memory proxy;
