--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -177,3 +177,5 @@
 } // namespace cornellever::cluster
 
 #include "cornellever/cluster/control.ipp"
+#include "cornellever/cluster/control_peers.ipp"
+#include "cornellever/cluster/control_primaries.ipp"
--- /dev/null
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -0,0 +1,250 @@
+#pragma once
+
+// What a proxy says to others and learns from them.
+
+namespace cornellever::cluster {
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
+    constexpr std::chrono::milliseconds pause{400};
+    const std::string table{"proxies"};
+    const auto address = m_settings.heartbeats.address().to_string() + ":" +
+                         std::to_string(m_settings.heartbeats.port()) + " " + m_settings.data_center;
+    for (;;) {
+        const auto written = co_await m_store.write(table, m_settings.name, address);
+        if (written) {
+            break;
+        }
+        co_await sleep_for(pause);
+    }
+    for (;;) {
+        const auto rows = co_await m_store.list(table);
+        if (rows) {
+            for (const auto& row : rows->rows) {
+                tcp::endpoint where;
+                const auto blank = row.value.find(' ');
+                if (blank != std::string::npos && parse_endpoint(row.value.substr(0, blank), where)) {
+                    m_members.learn(row.key, row.value.substr(blank + 1), {where.address(), where.port()},
+                                    boot_clock::now());
+                }
+            }
+            m_listed = true;
+            break;
+        }
+        co_await sleep_for(pause);
+    }
+    share_budget();
+    ask_peers();
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::farewell() {
+    for (const auto& [name, item] : m_members.peers()) {
+        send(message_now(peer_message::kind::farewell), item.address);
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+peer_message control<Store, Orders, Connector>::message_now(peer_message::kind what) const {
+    const auto now = boot_clock::now();
+    const auto age = [now](time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
+    peer_message out{.what = what,
+                     .sender = m_settings.name,
+                     .data_center = m_settings.data_center,
+                     .incarnation = m_settings.incarnation,
+                     .config_version = m_config.version,
+                     .registry_version = m_registry.effective().version,
+                     .store_reachable = m_store_reachable()};
+    for (const auto& [name, at] : m_watched) {
+        if (!at.seen || at.seen->primary.id.empty()) {
+            continue;
+        }
+        const auto& sight = at.seen->primary;
+        primary_report report{.service = name,
+                              .primary = sight.id,
+                              .confirmed_age = age(sight.confirmed_at),
+                              .heard_age = age(sight.heard_at),
+                              .unreachable = sight.unreachable,
+                              .refused = sight.refused};
+        if (what == peer_message::kind::answer && at.seen->sample) {
+            report.sample = aged_sample{age(at.seen->sample->asked_at), at.seen->sample->position};
+        }
+        out.primaries.push_back(std::move(report));
+    }
+    return out;
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::send(const peer_message& message, const asio::ip::udp::endpoint& to) {
+    // Heartbeats are lost now and then anyway; a send that would block or
+    // fails is one of these.
+    boost::system::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    m_socket.send_to(asio::buffer(encode(message)), to, 0, ignored);
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::ask_peers() {
+    const auto now = boot_clock::now();
+    m_last_heartbeat = now;
+    std::vector<asio::ip::udp::endpoint> targets;
+    for (const auto& [name, item] : m_members.peers()) {
+        targets.push_back(item.address);
+    }
+    if (targets.empty()) {
+        targets = m_settings.seeds;
+    }
+    // With many proxies each asks a few others at random, so that the work of
+    // one does not grow with their number.
+    std::ranges::shuffle(targets, m_random);
+    if (targets.size() > sampled_peers) {
+        targets.resize(sampled_peers);
+    }
+    auto message = message_now(peer_message::kind::question);
+    message.nonce = ++m_last_nonce;
+    m_questions[message.nonce] = {now};
+    while (m_questions.size() > 16) {
+        m_questions.erase(m_questions.begin());
+    }
+    for (const auto& to : targets) {
+        if (to != m_settings.heartbeats) {
+            send(message, to);
+        }
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::receive() {
+    std::array<char, 8192> buffer{};
+    for (;;) {
+        asio::ip::udp::endpoint from;
+        boost::system::error_code ec;
+        const auto size = co_await m_socket.async_receive_from(asio::buffer(buffer), from,
+                                                               asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_await sleep_for(std::chrono::milliseconds{20});
+            continue;
+        }
+        if (const auto message = decode(std::string_view{buffer.data(), size})) {
+            handle(*message, from);
+        }
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::handle(const peer_message& message, const asio::ip::udp::endpoint& from) {
+    if (message.sender == m_settings.name) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    if (message.what == peer_message::kind::farewell) {
+        m_members.leave(message.sender);
+        log_event(event::member_lost, "proxy=" + message.sender + " reason=left");
+        return;
+    }
+    auto counted_from = now;
+    if (message.what == peer_message::kind::answer) {
+        const auto question = m_questions.find(message.nonce);
+        if (question == m_questions.end()) {
+            return;
+        }
+        // An answer may have been under way for long; what it says was true
+        // when the question was sent, or later.
+        counted_from = question->second.sent_at;
+    }
+    if (m_members.hear(message, from, now, counted_from)) {
+        log_event(event::member_joined, "proxy=" + message.sender);
+    }
+    if (message.what == peer_message::kind::question) {
+        auto answer = message_now(peer_message::kind::answer);
+        answer.nonce = message.nonce;
+        if (!m_leaving) {
+            send(answer, from);
+        }
+    } else {
+        take_reports(message, counted_from);
+    }
+    compare_versions(message, from, now);
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::compare_versions(const peer_message& message,
+                                                         const asio::ip::udp::endpoint& from, time_point now) {
+    const bool behind =
+        message.config_version > m_config.version || message.registry_version > m_registry.effective().version;
+    if (!behind) {
+        m_behind_since = {};
+        return;
+    }
+    if (m_behind_since == time_point{}) {
+        m_behind_since = now;
+    }
+    const bool config_behind = message.config_version > m_config.version;
+    const auto lead = !m_store_reachable() ? std::chrono::milliseconds{0} : config_behind ? feed_lead : registry_lead;
+    if (!m_catching_up && now - m_behind_since >= lead) {
+        m_catching_up = true;
+        asio::co_spawn(m_executor, catch_up(message.sender, from.address()), asio::detached);
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::take_reports(const peer_message& message, time_point counted_from) {
+    std::vector<peer_sight> seen;
+    for (const auto& item : message.primaries) {
+        peer_sight sight{.service = item.service,
+                         .primary = item.unreachable ? std::string{} : item.primary,
+                         .confirmed_at = counted_from - item.confirmed_age};
+        if (item.sample) {
+            sight.sample = routing::freshness_sample{counted_from - item.sample->age, item.sample->position};
+        }
+        seen.push_back(std::move(sight));
+    }
+    if (!seen.empty()) {
+        m_bridge.take(std::move(seen));
+    }
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::catch_up(std::string from, asio::ip::address address) {
+    rpc::channel link{m_executor, tcp::endpoint{address, m_settings.peers.port()}};
+    auto answer = co_await link.call("snapshot", Json::Value{Json::objectValue}, catch_up_limit);
+    m_catching_up = false;
+    m_behind_since = {};
+    if (!answer) {
+        co_return;
+    }
+    auto got = snapshot_from_json(*answer);
+    if (!got) {
+        log_event(event::config_refused, "peer=" + from + " reason=\"" + got.error().message + "\"");
+        co_return;
+    }
+    log_event(event::config_loaded, "peer=" + from + " version=" + std::to_string(got->config.version) +
+                                        " registry=" + std::to_string(got->servers.version));
+    take(std::move(got->config));
+    take(got->servers);
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+bool control<Store, Orders, Connector>::suspicious() const {
+    return std::ranges::any_of(m_watched, [](const auto& item) {
+        return item.second.seen && (item.second.seen->primary.unreachable || item.second.seen->primary.id.empty());
+    });
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::share_budget() {
+    if (!m_listed && boot_clock::now() - m_started < unknown_for) {
+        return;
+    }
+    std::vector<session::proxy_place> places{{m_settings.name, m_settings.data_center, m_settings.callers}};
+    for (const auto& [name, item] : m_members.peers()) {
+        places.push_back({name, item.data_center, {item.address.address(), m_settings.callers.port()}});
+    }
+    if (places != m_places) {
+        m_places = places;
+        m_counts.proxies = places.size();
+        m_bridge.set_proxies(std::move(places));
+    }
+}
+
+} // namespace cornellever::cluster
--- a/src/cornellever/core/daemon.cpp
+++ b/src/cornellever/core/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 
 namespace cornellever {
 
@@ -26,6 +27,15 @@
     return true;
 }
 
+chart load_chart(std::string_view text, std::string_view name) {
+    auto parsed = chart::parse(text, name);
+    if (!parsed) {
+        std::fprintf(stderr, "chart %s: %s\n", std::string{name}.c_str(), parsed.error().message.c_str());
+        std::exit(1);
+    }
+    return std::move(*parsed);
+}
+
 bool parse_endpoints(std::span<const std::string> texts, std::vector<tcp::endpoint>& out) {
     for (const auto& text : texts) {
         tcp::endpoint where;
--- a/src/cornellever/core/daemon.hpp
+++ b/src/cornellever/core/daemon.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornellever/core/asio.hpp"
+#include "cornellever/core/chart.hpp"
 #include "cornellever/core/log.hpp"
 
 namespace cornellever {
@@ -30,6 +31,11 @@
 /// standard error when the level is not known.
 [[nodiscard]] bool start_logging(std::string_view role, std::string_view level);
 
+/// The state chart in `text`, which is compiled in under `name`: a process
+/// can't run without it, and ends here if it does not parse. A test parses
+/// every chart.
+[[nodiscard]] chart load_chart(std::string_view text, std::string_view name);
+
 /// Reads `IP:PORT` texts from a command line into `out`; false with a
 /// message on standard error at the first that is none.
 [[nodiscard]] bool parse_endpoints(std::span<const std::string> texts, std::vector<tcp::endpoint>& out);
--- a/src/cornellever/proxy/main.cpp
+++ b/src/cornellever/proxy/main.cpp
@@ -32,17 +32,6 @@
     }
 }
 
-/// The chart in `text`; the process cannot run without it, and a test
-/// parses every chart that is compiled in.
-chart load_chart(std::string_view text, std::string_view name) {
-    auto parsed = chart::parse(text, name);
-    if (!parsed) {
-        std::fprintf(stderr, "chart %s: %s\n", std::string{name}.c_str(), parsed.error().message.c_str());
-        std::exit(1);
-    }
-    return std::move(*parsed);
-}
-
 int run_proxy(const proxy::settings& settings) {
     const auto failover_steps = load_chart(proxy::charts::failover, "failover.ini");
     const auto drain_steps = load_chart(proxy::charts::drain, "drain.ini");
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -268,3 +268,4 @@
 } // namespace cornellever::routing
 
 #include "cornellever/routing/service_pool.ipp"
+#include "cornellever/routing/service_pool_primary.ipp"
--- /dev/null
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -0,0 +1,207 @@
+#pragma once
+
+// Knowing the primary: proofs of its lead, looking for it, asking servers.
+
+namespace cornellever::routing {
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::refresh(slot& held) {
+    std::vector<sql::command> batch;
+    if (held.armed) {
+        batch.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    batch.push_back(sql::own(sql::statement_kind::begin));
+    held.armed = false;
+    held.sent_at = boot_clock::now();
+    const auto wanted = batch.size() - 1;
+    auto& at = *held.home;
+    auto answer = co_await held.connection->exchange(std::move(batch), wanted, held.sent_at + control_limit);
+    if (!answer) {
+        note_failure(at, answer.error());
+        destroy(held);
+        forget_if_empty(at);
+        co_return;
+    }
+    heard(at, std::nullopt);
+    if (answer->ok()) {
+        held.armed = true;
+        held.armed_at = held.sent_at;
+        note_primary(at, held.sent_at, answer->position);
+    } else if (answer->why() == sql::refusal::not_primary) {
+        note_not_primary(at);
+    }
+    make_idle(held);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::believe(const std::string& id, time_point confirmed_at) {
+    if (confirmed_at <= m_primary_at || !m_entries.contains(id)) {
+        return;
+    }
+    m_primary_at = confirmed_at;
+    if (m_primary == id) {
+        return;
+    }
+    log_event(event::primary_found, "service=" + m_service + " server=" + id + " before=" + m_primary);
+    m_primary = id;
+    arm_idle(*m_entries.at(id));
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::arm_idle(entry& at) {
+    for (auto& item : at.slots) {
+        if (!item->busy) {
+            item->busy = true;
+            asio::co_spawn(m_executor, refresh(*item), asio::detached);
+        }
+    }
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::seek() {
+    if (!m_seeking) {
+        m_seeking = true;
+        asio::co_spawn(m_executor, seek_primary(), asio::detached);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::seek_primary() {
+    while (m_primary.empty()) {
+        std::vector<std::string> ids;
+        ids.reserve(m_entries.size());
+        for (const auto& [id, at] : m_entries) {
+            ids.push_back(id);
+        }
+        std::ranges::stable_partition(
+            ids, [&](const auto& id) { return m_entries.at(id)->server.role == server_role::primary; });
+        for (const auto& id : ids) {
+            if (m_primary.empty()) {
+                co_await probe(id);
+            }
+        }
+        co_await sleep_for(seek_period);
+    }
+    m_seeking = false;
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::probe(std::string id) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        co_return;
+    }
+    auto& at = *found->second;
+    if (at.idle() == 0 && at.slots.size() + at.opening < m_budget && boot_clock::now() >= at.open_after) {
+        ++at.opening;
+        co_await open(at);
+    }
+    // Opening may have taken a while: the server may be gone by now.
+    const auto again = m_entries.find(id);
+    if (again == m_entries.end()) {
+        co_return;
+    }
+    auto& slots = again->second->slots;
+    const auto idle = std::ranges::find_if(slots, [](const auto& item) { return !item->busy; });
+    if (idle != slots.end()) {
+        (*idle)->busy = true;
+        co_await refresh(**idle);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<link_reply> service_pool<Connector>::ask(std::string id, sql::command what,
+                                                         std::chrono::milliseconds limit) {
+    const auto until = boot_clock::now() + limit;
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        co_return std::unexpected{link_failure::not_sent};
+    }
+    auto& at = *found->second;
+    slot* held = nullptr;
+    for (auto& item : at.slots) {
+        if (!item->busy) {
+            held = item.get();
+            break;
+        }
+    }
+    if (held == nullptr) {
+        ++at.opening;
+        auto opened = co_await m_connector.open(at.server, until);
+        --at.opening;
+        if (!opened) {
+            if (opened.error() == connect_failure::refused) {
+                at.refused_at = boot_clock::now();
+            }
+            forget_if_empty(at);
+            co_return std::unexpected{link_failure::not_sent};
+        }
+        held = at.slots.emplace_back(std::make_unique<slot>()).get();
+        held->connection = std::move(*opened);
+        held->home = &at;
+    }
+    held->busy = true;
+    std::vector<sql::command> batch;
+    if (std::exchange(held->armed, false)) {
+        batch.push_back(sql::own(sql::statement_kind::rollback));
+    }
+    batch.push_back(std::move(what));
+    const auto wanted = batch.size() - 1;
+    held->sent_at = boot_clock::now();
+    auto answer = co_await held->connection->exchange(std::move(batch), wanted, until);
+    if (!answer) {
+        note_failure(at, answer.error());
+    }
+    if (!m_used) {
+        // This proxy holds no connections to the service's servers.
+        held->connection->close();
+    }
+    take_back(*held);
+    co_return answer;
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::tick() {
+    if (!m_used) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    for (auto& [id, at] : m_entries) {
+        if (at->slots.size() + at->opening == 0 && now >= at->open_after && !at->draining_since) {
+            open_one(*at);
+        }
+    }
+    if (m_primary.empty()) {
+        seek();
+        return;
+    }
+    auto& leader = *m_entries.at(m_primary);
+    const auto* newest = m_floor.newest();
+    const bool stale =
+        now - m_primary_at > refresh_after || newest == nullptr || now - newest->asked_at > refresh_after;
+    if (stale) {
+        const auto idle = std::ranges::find_if(leader.slots, [](const auto& item) { return !item->busy; });
+        if (idle != leader.slots.end()) {
+            (*idle)->busy = true;
+            asio::co_spawn(m_executor, refresh(**idle), asio::detached);
+        }
+    }
+}
+
+template <link_connector Connector>
+primary_sight service_pool<Connector>::sight() const {
+    primary_sight out;
+    out.id = m_primary;
+    out.confirmed_at = m_primary_at;
+    const auto found = m_entries.find(m_primary);
+    if (found != m_entries.end()) {
+        const auto& at = *found->second;
+        out.heard_at = at.heard_at;
+        out.unreachable = at.unreachable();
+        out.refused = at.refused_at > at.heard_at;
+        out.unreachable_since = at.heard_at;
+    }
+    return out;
+}
+
+} // namespace cornellever::routing
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -109,3 +109,4 @@
 } // namespace cornellever::session
 
 #include "cornellever/session/statement_engine.ipp"
+#include "cornellever/session/statement_transactions.ipp"
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -154,3 +154,4 @@
 } // namespace cornellever::session
 
 #include "cornellever/session/traffic.ipp"
+#include "cornellever/session/traffic_sharing.ipp"
