--- a/src/cornellever/ctl/explain.cpp
+++ b/src/cornellever/ctl/explain.cpp
@@ -21,7 +21,7 @@
     return behind.empty() || behind.front() == ' ';
 }
 
-/// The time of a line, `2026-01-01T00:00:00.000`: it stands before the role,
+/// The time of a line, as the log writes it (date, T, clock time with milliseconds): it stands before the role,
 /// whatever a collector of logs wrote before it.
 std::string_view time_of(std::string_view line) {
     constexpr std::size_t time_size = 23;
