A database removed while a session opens ends nothing else

Cause (found by reading): a session waits up to a second for the other proxies to be known after a start; its route was looked up again afterwards and used without a check.

Test: a_database_removed_while_a_session_opens_ends_nothing_else, failed before.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -146,6 +146,10 @@
     static constexpr std::chrono::milliseconds unknown_for{1500};
     static constexpr std::chrono::milliseconds catch_up_limit{500};
     static constexpr std::size_t sampled_peers = 12;
+    /// Answers to older questions are too old to be of use.
+    static constexpr std::size_t remembered_questions = 16;
+    /// A report takes about 60 bytes a service.
+    static constexpr std::size_t largest_message_bytes = 8192;
 
     asio::any_io_executor m_executor;
     control_settings m_settings;
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -103,7 +103,7 @@
     auto message = message_now(peer_message::kind::question);
     message.nonce = ++m_last_nonce;
     m_questions[message.nonce] = {now};
-    while (m_questions.size() > 16) {
+    while (m_questions.size() > remembered_questions) {
         m_questions.erase(m_questions.begin());
     }
     for (const auto& to : targets) {
@@ -115,7 +115,7 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::receive() {
-    std::array<char, 8192> buffer{};
+    std::array<char, largest_message_bytes> buffer{};
     for (;;) {
         asio::ip::udp::endpoint from;
         boost::system::error_code ec;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -141,12 +141,12 @@
             // The owner ended the session at rest: the caller opens another.
             break;
         }
-        // A request that has arrived is still answered: the caller could not
-        // know that the session was about to end.
         // Served here although others own the connections: the session began
         // before they were known. Its caller's next one is relayed.
         const bool moves = answered && !opening->relayed && owner == nullptr && !owns(with.state.database);
         const bool closing = m_closing_resting || ((m_closing || moves) && answered);
+        // A request that has arrived is still answered: the caller could not
+        // know that the session was about to end.
         if (closing && with.status.resting && caller.close_if_quiet()) {
             break;
         }
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -48,6 +48,10 @@
 asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_owner(const std::string& database,
                                                                                        std::uint64_t session) {
     const auto route = m_config.routes.find(database);
+    if (route == m_config.routes.end()) {
+        // Removed while the session waited for the proxies to be known.
+        co_return nullptr;
+    }
     // A copy: proxies may come and go while owners are tried.
     const auto shared = share_of(route->second.service);
     if (shared.owns(m_name)) {
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -417,6 +417,23 @@
     BOOST_TEST(caller.taken == 2U);
 }
 
+// A proxy ends by itself: a database was removed while a session that had
+// named it waited for the other proxies to be known.
+BOOST_AUTO_TEST_CASE(a_database_removed_while_a_session_opens_ends_nothing_else) {
+    proxy_in_memory proxy;
+    proxy.host.set_proxies({});
+    asio::steady_timer removed{proxy.io, 50ms};
+    removed.async_wait([&](const boost::system::error_code&) {
+        auto config = three_databases(2);
+        config.routes.erase("strict");
+        proxy.host.update(config);
+        proxy.host.set_proxies(places(20));
+    });
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST((why(caller, 0) == refusal::no_such_database));
+}
+
 BOOST_AUTO_TEST_CASE(owners_are_the_same_for_all_and_spread_over_data_centres) {
     const auto shared = session::share_connections("stock", 22, places(20));
     BOOST_TEST(shared.owners.size() == 6U);
