Comments stand at their functions again

Cause: splitting the template files left doc comments behind, some in the other file, with a blank line between their lines.

Conclusion: comments and blank lines only.

--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -72,10 +72,6 @@
     m_bridge.update(m_registry.effective());
 }
 
-/// Makes this proxy known to those that start later, and learns of those that
-
-/// started before.
-
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::prepare_to_leave() {
     m_leaving = true;
@@ -86,16 +82,6 @@
     }
 }
 
-/// Notices when a peer has a newer configuration or registry. The feed of the
-
-/// store brings both in a few milliseconds; where it does not, its connection
-
-/// has gone silent or the store turns this proxy away, and the peer is asked.
-
-/// Takes configuration and servers from a peer that has newer ones: the store
-
-/// does not answer this proxy, or its feed has not delivered them.
-
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::tick() {
     for (;;) {
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -4,6 +4,8 @@
 
 namespace cornellever::cluster {
 
+/// Makes this proxy known to those that start later, and learns of those that
+/// started before.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
     constexpr std::chrono::milliseconds pause{400};
@@ -167,6 +169,9 @@
     compare_versions(message, from, now);
 }
 
+/// Notices when a peer has a newer configuration or registry. The feed of the
+/// store brings both in a few milliseconds; where it does not, its connection
+/// has gone silent or the store turns this proxy away, and the peer is asked.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::compare_versions(const peer_message& message,
                                                          const asio::ip::udp::endpoint& from, time_point now) {
@@ -204,6 +209,8 @@
     }
 }
 
+/// Takes configuration and servers from a peer that has newer ones: the store
+/// does not answer this proxy, or its feed has not delivered them.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::catch_up(std::string from, asio::ip::address address) {
     rpc::channel link{m_executor, tcp::endpoint{address, m_settings.peers.port()}};
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -58,9 +58,7 @@
 }
 
 /// Decides whether a service's primary is to be replaced, and whether by this
-
 /// proxy now.
-
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::look_after(const std::string& service, watch& at) {
     const auto now = boot_clock::now();
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -220,9 +220,7 @@
 }
 
 /// Awaits the answers that a request left owed, and learns from the last:
-
 /// where it opened a transaction on a primary, the connection is armed.
-
 template <link_connector Connector>
 asio::awaitable<void> service_pool<Connector>::settle(slot& held) {
     auto last = co_await held.connection->settle(boot_clock::now() + control_limit);
@@ -281,8 +279,6 @@
     }
 }
 
-/// Proves the lead anew on a connection that the caller marked busy.
-
 template <link_connector Connector>
 std::chrono::duration<double, std::milli> service_pool<Connector>::typical(bool primary_only) const {
     const auto now = boot_clock::now();
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -4,6 +4,7 @@
 
 namespace cornellever::routing {
 
+/// Proves the lead anew on a connection that the caller marked busy.
 template <link_connector Connector>
 asio::awaitable<void> service_pool<Connector>::refresh(slot& held) {
     std::vector<sql::command> batch;
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -43,11 +43,8 @@
 }
 
 /// A proxy that has just started knows no position of the primary. One costs
-
 /// no slot and a round trip; if all reads went to the primary meanwhile, its
-
 /// slots would be taken for seconds, by many proxies at once after an outage.
-
 template <routing::link_connector Connector>
 asio::awaitable<void> statement_engine<Connector>::await_sample(pool& backends, const statement_run& run,
                                                                 bool needs_primary) {
@@ -95,7 +92,6 @@
 }
 
 /// A connection, or the refusal to answer with.
-
 template <routing::link_connector Connector>
 asio::awaitable<typename statement_engine<Connector>::lease>
 statement_engine<Connector>::connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
@@ -129,9 +125,7 @@
 }
 
 /// Opens a transaction that proves the server's lead; waits for the proof,
-
 /// since a read sent right behind a refused BEGIN would run without it.
-
 template <routing::link_connector Connector>
 asio::awaitable<bool> statement_engine<Connector>::arm(pool& backends, lease& held, time_point until) {
     if (backends.armed_now(*held)) {
@@ -351,6 +345,4 @@
     return verdict::again;
 }
 
-/// Takes a connection for a transaction and opens it there.
-
 } // namespace cornellever::session
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -25,6 +25,7 @@
     co_return answer->ok();
 }
 
+/// Takes a connection for a transaction and opens it there.
 template <routing::link_connector Connector>
 asio::awaitable<bool> statement_engine<Connector>::pin(transaction& inside, const statement_run& run,
                                                        sql::reply& refusal) {
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -39,12 +39,6 @@
     }
 }
 
-/// A proxy that has just started does not know yet who owns connections. If it
-
-/// opened its own meanwhile, after an outage of all proxies each server would
-
-/// be full before its owners came.
-
 template <routing::link_connector Connector>
 void traffic<Connector>::count(const sql::reply& out, boot_clock::time_point arrival) {
     if (out.error) {
@@ -273,7 +267,6 @@
 }
 
 /// Runs what a backend server has to run.
-
 template <routing::link_connector Connector>
 asio::awaitable<sql::reply> traffic<Connector>::run(conversation& with, const sql::request& asked) {
     const auto arrival = boot_clock::now();
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -36,6 +36,9 @@
     return route == m_config.routes.end() || share_of(route->second.service).owns(m_name);
 }
 
+/// A proxy that has just started does not know yet who owns connections. If it
+/// opened its own meanwhile, after an outage of all proxies each server would
+/// be full before its owners came.
 template <routing::link_connector Connector>
 asio::awaitable<void> traffic<Connector>::await_proxies() {
     const auto until = boot_clock::now() + proxies_limit;
