One proof of the lead, one way to find an idle connection; dead state out

The engine's arm and the pool's refresh each built ROLLBACK, BEGIN and learned from the answer, settle a third time; an idle connection was searched for in four places, a slot filled in two, the budget checked in three. Nothing read last_session, idle_since, sessions_open, unreachable_since and service_pool::service.

Conclusion: behaviour as before; an error answer counts as no proof also while its transaction is open.

--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -34,7 +34,6 @@
     boot_clock::time_point armed_at{};
     /// When the statements were sent whose answers are still owed.
     boot_clock::time_point sent_at{};
-    boot_clock::time_point idle_since{};
 };
 
 /// How long statements take at a server, as a moving average that goes back to
@@ -88,6 +87,15 @@
     /// When it was first seen to be leaving.
     std::optional<time_point> draining_since;
 
+    /// Connections open or being opened.
+    [[nodiscard]] std::size_t held() const noexcept { return slots.size() + opening; }
+
+    /// Any connection that is not in use; null when there is none.
+    [[nodiscard]] pooled_slot<Link>* any_idle() const {
+        const auto found = std::ranges::find_if(slots, [](const auto& item) { return !item->busy; });
+        return found == slots.end() ? nullptr : found->get();
+    }
+
     [[nodiscard]] std::size_t idle() const {
         return static_cast<std::size_t>(std::ranges::count_if(slots, [](const auto& item) { return !item->busy; }));
     }
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -44,7 +44,6 @@
     /// Nobody has answered at its address since `heard_at`.
     bool unreachable{false};
     bool refused{false};
-    boot_clock::time_point unreachable_since{};
 };
 
 /// The connections of this proxy to the servers of one service: opens them
@@ -172,7 +171,6 @@
 
     [[nodiscard]] const read_floor& floor() const noexcept { return m_floor; }
     [[nodiscard]] const std::string& primary() const noexcept { return m_primary; }
-    [[nodiscard]] const std::string& service() const noexcept { return m_service; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_line.size(); }
     [[nodiscard]] std::size_t waiting_ahead(int priority) const { return m_line.ahead_of(priority); }
     [[nodiscard]] const std::map<std::string, std::unique_ptr<entry>, std::less<>>& entries() const noexcept {
@@ -204,6 +202,12 @@
         tick();
     }
 
+    /// Opens a transaction that proves the server's lead, on a connection that
+    /// is in use: the connection is armed when this yields true. Waits for the
+    /// proof, since a read sent right behind a refused BEGIN would run without
+    /// it.
+    asio::awaitable<bool> prove_lead(slot& held, time_point until);
+
     /// Asks one server whether it leads, over an idle or a new connection.
     asio::awaitable<void> probe(std::string id);
 
@@ -223,6 +227,11 @@
     [[nodiscard]] slot* grab(const connection_want& want);
     [[nodiscard]] slot* best_idle(entry& at, const connection_want& want) const;
     void grow(const connection_want& want);
+    [[nodiscard]] bool may_open(const entry& at, time_point now) const {
+        return now >= at.open_after && at.held() < m_budget;
+    }
+    slot& add_slot(entry& at, std::unique_ptr<link> connection);
+    void learn_lead(slot& held, const sql::reply& from);
     void open_one(entry& at);
     asio::awaitable<void> open(entry& at);
     void take_back(slot& held);
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -125,11 +125,10 @@
     const auto now = boot_clock::now();
     entry* best = nullptr;
     for (auto& [id, item] : m_entries) {
-        if (!suits(want, *item, now) || now < item->open_after || item->slots.size() + item->opening >= m_budget) {
+        if (!suits(want, *item, now) || !may_open(*item, now)) {
             continue;
         }
-        const auto held = [](const entry& of) { return of.slots.size() + of.opening; };
-        if (best == nullptr || held(*item) < held(*best)) {
+        if (best == nullptr || item->held() < best->held()) {
             best = item.get();
         }
     }
@@ -193,10 +192,7 @@
     }
     at.failed_opens = 0;
     at.heard_at = now;
-    auto& added = *at.slots.emplace_back(std::make_unique<slot>());
-    added.connection = std::move(*opened);
-    added.home = &at;
-    added.busy = true;
+    auto& added = add_slot(at, std::move(*opened));
     if (at.server.id == m_primary && !at.gone) {
         co_await refresh(added);
         co_return;
@@ -204,13 +200,22 @@
     make_idle(added);
 }
 
+/// Adds an open connection, in use.
+template <link_connector Connector>
+typename service_pool<Connector>::slot& service_pool<Connector>::add_slot(entry& at, std::unique_ptr<link> connection) {
+    auto& added = *at.slots.emplace_back(std::make_unique<slot>());
+    added.connection = std::move(connection);
+    added.home = &at;
+    added.busy = true;
+    return added;
+}
+
 template <link_connector Connector>
 void service_pool<Connector>::take_back(slot& held) {
     if (!held.connection->usable()) {
         auto& at = *held.home;
         destroy(held);
-        if (!m_line.empty() && !at.gone && at.slots.size() + at.opening < m_budget &&
-            boot_clock::now() >= at.open_after) {
+        if (!m_line.empty() && !at.gone && may_open(at, boot_clock::now())) {
             open_one(at);
         }
         forget_if_empty(at);
@@ -234,14 +239,9 @@
         co_return;
     }
     heard(at, std::nullopt);
-    if (last->state == sql::transaction_state::open) {
-        held.armed = true;
-        held.armed_at = held.sent_at;
-        note_primary(at, held.sent_at, last->position);
-    } else if (!last->ok() && last->why() == sql::refusal::not_primary) {
-        note_not_primary(at);
-    }
-    if (last->state == sql::transaction_state::failed) {
+    learn_lead(held, *last);
+    const bool unproved = last->state == sql::transaction_state::open && !held.armed;
+    if (last->state == sql::transaction_state::failed || unproved) {
         held.connection->close();
     }
     make_idle(held);
@@ -263,7 +263,6 @@
         return;
     }
     held.busy = false;
-    held.idle_since = now;
 }
 
 template <link_connector Connector>
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -4,33 +4,44 @@
 
 namespace cornellever::routing {
 
-/// Proves the lead anew on a connection that the caller marked busy.
+/// Takes from the last answer on a connection whether its server leads: one
+/// that opened a plain transaction does, and the connection is armed.
 template <link_connector Connector>
-asio::awaitable<void> service_pool<Connector>::refresh(slot& held) {
+void service_pool<Connector>::learn_lead(slot& held, const sql::reply& from) {
+    auto& at = *held.home;
+    if (from.ok() && from.state == sql::transaction_state::open) {
+        held.armed = true;
+        held.armed_at = held.sent_at;
+        note_primary(at, held.sent_at, from.position);
+    } else if (!from.ok() && from.why() == sql::refusal::not_primary) {
+        note_not_primary(at);
+    }
+}
+
+template <link_connector Connector>
+asio::awaitable<bool> service_pool<Connector>::prove_lead(slot& held, time_point until) {
     std::vector<sql::command> batch;
-    if (held.armed) {
+    if (std::exchange(held.armed, false)) {
         batch.push_back(sql::own(sql::statement_kind::rollback));
     }
+    const auto wanted = batch.size();
     batch.push_back(sql::own(sql::statement_kind::begin));
-    held.armed = false;
     held.sent_at = boot_clock::now();
-    const auto wanted = batch.size() - 1;
     auto& at = *held.home;
-    auto answer = co_await held.connection->exchange(std::move(batch), wanted, held.sent_at + control_limit);
+    auto answer = co_await held.connection->exchange(std::move(batch), wanted, until);
     if (!answer) {
         note_failure(at, answer.error());
-        destroy(held);
-        forget_if_empty(at);
-        co_return;
+        co_return false;
     }
     heard(at, std::nullopt);
-    if (answer->ok()) {
-        held.armed = true;
-        held.armed_at = held.sent_at;
-        note_primary(at, held.sent_at, answer->position);
-    } else if (answer->why() == sql::refusal::not_primary) {
-        note_not_primary(at);
-    }
+    learn_lead(held, *answer);
+    co_return held.armed;
+}
+
+/// Proves the lead anew on a connection that the caller marked busy.
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::refresh(slot& held) {
+    (void)co_await prove_lead(held, boot_clock::now() + control_limit);
     make_idle(held);
 }
 
@@ -93,7 +104,7 @@
         co_return;
     }
     auto& at = *found->second;
-    if (at.idle() == 0 && at.slots.size() + at.opening < m_budget && boot_clock::now() >= at.open_after) {
+    if (at.any_idle() == nullptr && may_open(at, boot_clock::now())) {
         ++at.opening;
         co_await open(at);
     }
@@ -102,11 +113,9 @@
     if (again == m_entries.end()) {
         co_return;
     }
-    auto& slots = again->second->slots;
-    const auto idle = std::ranges::find_if(slots, [](const auto& item) { return !item->busy; });
-    if (idle != slots.end()) {
-        (*idle)->busy = true;
-        co_await refresh(**idle);
+    if (auto* idle = again->second->any_idle(); idle != nullptr) {
+        idle->busy = true;
+        co_await refresh(*idle);
     }
 }
 
@@ -119,13 +128,7 @@
         co_return std::unexpected{link_failure::not_sent};
     }
     auto& at = *found->second;
-    slot* held = nullptr;
-    for (auto& item : at.slots) {
-        if (!item->busy) {
-            held = item.get();
-            break;
-        }
-    }
+    slot* held = at.any_idle();
     if (held == nullptr) {
         ++at.opening;
         auto opened = co_await m_connector.open(at.server, until);
@@ -137,9 +140,7 @@
             forget_if_empty(at);
             co_return std::unexpected{link_failure::not_sent};
         }
-        held = at.slots.emplace_back(std::make_unique<slot>()).get();
-        held->connection = std::move(*opened);
-        held->home = &at;
+        held = &add_slot(at, std::move(*opened));
     }
     held->busy = true;
     std::vector<sql::command> batch;
@@ -168,7 +169,7 @@
     }
     const auto now = boot_clock::now();
     for (auto& [id, at] : m_entries) {
-        if (at->slots.size() + at->opening == 0 && now >= at->open_after && !at->draining_since) {
+        if (at->held() == 0 && now >= at->open_after && !at->draining_since) {
             open_one(*at);
         }
     }
@@ -181,10 +182,9 @@
     const bool stale =
         now - m_primary_at > refresh_after || newest == nullptr || now - newest->asked_at > refresh_after;
     if (stale) {
-        const auto idle = std::ranges::find_if(leader.slots, [](const auto& item) { return !item->busy; });
-        if (idle != leader.slots.end()) {
-            (*idle)->busy = true;
-            asio::co_spawn(m_executor, refresh(**idle), asio::detached);
+        if (auto* idle = leader.any_idle(); idle != nullptr) {
+            idle->busy = true;
+            asio::co_spawn(m_executor, refresh(*idle), asio::detached);
         }
     }
 }
@@ -200,7 +200,6 @@
         out.heard_at = at.heard_at;
         out.unreachable = at.unreachable();
         out.refused = at.refused_at > at.heard_at;
-        out.unreachable_since = at.heard_at;
     }
     return out;
 }
--- a/src/cornellever/session/connection_memory.cpp
+++ b/src/cornellever/session/connection_memory.cpp
@@ -41,7 +41,6 @@
                        .touches = needed->touches,
                        .text = needed->shape});
     }
-    memory.last_session = session.id;
     return out;
 }
 
--- a/src/cornellever/session/connection_memory.hpp
+++ b/src/cornellever/session/connection_memory.hpp
@@ -18,8 +18,6 @@
     /// Names of prepared statements on the connection. A name is made from
     /// what it runs (`prepared_name`), so that sessions share it.
     std::set<std::string, std::less<>> prepared;
-    /// The session that used the connection last; 0 when none did.
-    std::uint64_t last_session{0};
 };
 
 /// The name under which a prepared statement is known on backend
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -124,37 +124,12 @@
     co_return held;
 }
 
-/// Opens a transaction that proves the server's lead; waits for the proof,
-/// since a read sent right behind a refused BEGIN would run without it.
 template <routing::link_connector Connector>
 asio::awaitable<bool> statement_engine<Connector>::arm(pool& backends, lease& held, time_point until) {
     if (backends.armed_now(*held)) {
         co_return true;
     }
-    held->sent_at = boot_clock::now();
-    std::vector<sql::command> batch;
-    if (std::exchange(held->armed, false)) {
-        batch.push_back(sql::own(sql::statement_kind::rollback));
-    }
-    const auto wanted = batch.size();
-    batch.push_back(sql::own(sql::statement_kind::begin));
-    auto answer = co_await held->connection->exchange(std::move(batch), wanted, until);
-    auto& at = *held->home;
-    if (!answer) {
-        backends.note_failure(at, answer.error());
-        co_return false;
-    }
-    backends.heard(at, std::nullopt);
-    if (answer->ok()) {
-        held->armed = true;
-        held->armed_at = held->sent_at;
-        backends.note_primary(at, held->sent_at, answer->position);
-        co_return true;
-    }
-    if (answer->why() == sql::refusal::not_primary) {
-        backends.note_not_primary(at);
-    }
-    co_return false;
+    co_return co_await backends.prove_lead(*held, until);
 }
 
 template <routing::link_connector Connector>
@@ -208,8 +183,7 @@
     for (;;) {
         auto held = co_await connection_for(backends, run, want, out);
         if (!held) {
-            log_decision(event::request_refused, run, backends.primary(),
-                         out.error.value_or(sql::statement_error{}).text);
+            log_decision(event::request_refused, run, backends.primary(), out.error_text());
             break;
         }
         if ((want.primary || held->armed) && !run.writes()) {
@@ -333,8 +307,8 @@
     }
     if (!sql::server_did_not_run(why)) {
         log_decision(event::outcome_unknown, run, id, sql::to_string(why));
-        out = refused(why == sql::refusal::malformed ? sql::refusal::outcome_unknown : why,
-                      got->error.value_or(sql::statement_error{}).text, sql::transaction_state::idle);
+        out = refused(why == sql::refusal::malformed ? sql::refusal::outcome_unknown : why, got->error_text(),
+                      sql::transaction_state::idle);
         return verdict::answered;
     }
     log_decision(event::statement_retried, run, id, sql::to_string(why));
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -35,8 +35,7 @@
     for (;;) {
         auto held = co_await connection_for(backends, run, want, refusal);
         if (!held) {
-            log_decision(event::request_refused, run, backends.primary(),
-                         refusal.error.value_or(sql::statement_error{}).text);
+            log_decision(event::request_refused, run, backends.primary(), refusal.error_text());
             co_return false;
         }
         bool opened = false;
--- a/src/cornellever/session/traffic_counters.hpp
+++ b/src/cornellever/session/traffic_counters.hpp
@@ -13,7 +13,6 @@
     static constexpr std::size_t refusals = 12;
 
     std::uint64_t sessions_opened{0};
-    std::uint64_t sessions_open{0};
     std::uint64_t statements_served{0};
     std::uint64_t reads_on_replicas{0};
     std::uint64_t reads_on_primary{0};
--- a/src/cornellever/sql/reply.hpp
+++ b/src/cornellever/sql/reply.hpp
@@ -49,6 +49,9 @@
 
     /// Why it had no success; `failed` for an answer that had.
     [[nodiscard]] refusal why() const noexcept { return error ? error->why : refusal::failed; }
+
+    /// The error's text; empty for an answer that had success.
+    [[nodiscard]] std::string error_text() const { return error ? error->text : std::string{}; }
 };
 
 /// The lower-case name of a refusal, for logs and metrics.
