Floors name entries that logs hold: replicas serve right after a promotion

Cause: after a promotion every floor of the old term was sent under the new term with its number (1.409 as 2.409), and the new primary's first position (2.435, whose entry 435 is of term 1) was used as a floor. Logs hold neither.

Ruled out: apply lag of the replica (it served later positions at the same time), the promotion choosing a replica that was behind (0 commits rolled back), connections at their cap (none refused after 14 s).

Change: a floor keeps the term under which its position was acknowledged; a new term's positions are used once their entries are known. The retry line names floor and position.

--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -13,6 +13,10 @@
 /// Longer than any staleness that routes state today (2.5 s) with room.
 constexpr auto keep_for = std::chrono::seconds{10};
 
+/// Replicas apply a commit this long after the primary at the most (the users'
+/// replicas: 20 to 50 ms on average, 300 ms at worst).
+constexpr auto replicas_apply_within = std::chrono::milliseconds{300};
+
 } // namespace
 
 void read_floor::add(const freshness_sample& sample) {
@@ -28,8 +32,15 @@
             return;
         }
     }
-    if (m_samples.empty() || m_samples.back().position.term < sample.position.term) {
+    if (m_samples.empty()) {
+        // A proxy that has just started takes the term to be an old one.
+        m_term_began = sample.position.number;
+        m_first_entry = m_term_began;
+    } else if (m_samples.back().position.term < sample.position.term) {
         m_term_began = sample.position.number;
+        m_first_entry.reset();
+    } else if (sample.position.number > m_term_began) {
+        note_commit(sample.position);
     }
     m_samples.push_back(sample);
     while (m_samples.front().asked_at < sample.asked_at - keep_for) {
@@ -37,14 +48,48 @@
     }
 }
 
-// A position of an older term may have been rolled back when the present
-// primary was promoted; no log would reach it for long. What survived stands
-// before the present term's first sample, so that its number is enough. The
-// number has to stay: a replica that received nothing counts itself to the new
-// term all the same.
-sql::log_position read_floor::in_present_term(const sql::log_position& at) const {
-    const auto term = m_samples.back().position.term;
-    return at.term < term ? sql::log_position{term, std::min(at.number, m_term_began)} : at;
+void read_floor::note_commit(const sql::log_position& at) {
+    if (!m_samples.empty() && at.term == m_samples.back().position.term) {
+        m_first_entry = std::min(m_first_entry.value_or(at.number), at.number);
+    }
+}
+
+bool read_floor::in_present_term(const freshness_sample& sample) const {
+    return sample.position.term == m_samples.back().position.term;
+}
+
+bool read_floor::entry_known(const freshness_sample& sample) const {
+    return in_present_term(sample) && m_first_entry && sample.position.number >= *m_first_entry;
+}
+
+/// A commit of an older term that the present primary did not have when it was
+/// promoted. Nobody is owed it, and no log will hold it.
+bool read_floor::rolled_back(const sql::log_position& at) const {
+    return at.term < m_samples.back().position.term && at.number > m_term_began;
+}
+
+// Any sample that is recent enough will do; the question is which of them logs
+// hold. A new primary's first position names its term and the last entry of an
+// older one, a combination that no log holds until the next commit: replicas
+// that had everything refused all reads for 2.5 s after a promotion, and the
+// primary got them. An older term's position stays good as it is: a log that
+// holds it has all that was acknowledged before. It is left for one of the new
+// term as soon as replicas have that, since it may have been rolled back.
+sql::log_position read_floor::weakest_sufficient(std::size_t oldest, time_point now) const {
+    const auto& first = m_samples[oldest];
+    if (entry_known(first)) {
+        return first.position;
+    }
+    const std::ranges::subrange recent{m_samples.begin() + static_cast<std::ptrdiff_t>(oldest), m_samples.end()};
+    const auto known = std::ranges::find_if(recent, [&](const auto& sample) { return entry_known(sample); });
+    const bool settled = known != recent.end() && known->asked_at <= now - replicas_apply_within;
+    if (!settled && !in_present_term(first) && !rolled_back(first.position)) {
+        return first.position;
+    }
+    if (known != recent.end()) {
+        return known->position;
+    }
+    return std::ranges::find_if(recent, [&](const auto& sample) { return in_present_term(sample); })->position;
 }
 
 std::optional<sql::log_position> read_floor::floor(time_point now, std::chrono::milliseconds max_staleness,
@@ -54,9 +99,10 @@
     if (oldest == m_samples.end()) {
         return std::nullopt;
     }
-    auto out = in_present_term(oldest->position);
-    if (own_commit) {
-        out = std::max(out, in_present_term(*own_commit));
+    const auto out = weakest_sufficient(static_cast<std::size_t>(oldest - m_samples.begin()), now);
+    if (own_commit && !rolled_back(*own_commit)) {
+        // One of a later term implies all of the earlier that was kept.
+        return std::max(out, *own_commit);
     }
     return out;
 }
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -26,6 +26,9 @@
     /// Takes a sample. One that goes back behind an earlier sample is dropped.
     void add(const freshness_sample& sample);
 
+    /// A commit was acknowledged at this position: its entry exists.
+    void note_commit(const sql::log_position& at);
+
     /// The position that a log needs for a read at `now` that may lack only
     /// commits acknowledged within `max_staleness`, and the session's own last
     /// commit. Nothing when no sample is recent enough to tell.
@@ -36,11 +39,16 @@
     [[nodiscard]] const freshness_sample* newest() const noexcept;
 
 private:
-    [[nodiscard]] sql::log_position in_present_term(const sql::log_position& at) const;
+    [[nodiscard]] bool in_present_term(const freshness_sample& sample) const;
+    [[nodiscard]] bool entry_known(const freshness_sample& sample) const;
+    [[nodiscard]] bool rolled_back(const sql::log_position& at) const;
+    [[nodiscard]] sql::log_position weakest_sufficient(std::size_t oldest, time_point now) const;
 
     std::deque<freshness_sample> m_samples;
     /// The number of the present term's first sample.
     std::uint64_t m_term_began{0};
+    /// From this number on, entries are known to be of the present term.
+    std::optional<std::uint64_t> m_first_entry;
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -163,6 +163,12 @@
         believe(from.server.id, asked_at);
     }
 
+    /// A server acknowledged a commit that was sent at `sent_at`.
+    void note_commit(entry& from, time_point sent_at, const sql::log_position& position) {
+        note_primary(from, sent_at, position);
+        m_floor.note_commit(position);
+    }
+
     /// A peer saw `id` prove its lead after `confirmed_at`.
     void believe(const std::string& id, time_point confirmed_at);
 
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -93,6 +93,7 @@
                                                    bool needs_primary) const;
     void log_served(pool& backends, const lease& held, const statement_run& run,
                     const std::optional<sql::log_position>& floor) const;
+    [[nodiscard]] static std::string describe_lag(const std::optional<sql::log_position>& floor, const sql::reply& got);
     void log_decision(event id, const statement_run& run, std::string_view server, std::string_view reason) const;
 
     /// A read without an answer for so long is run again elsewhere: twice what
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -10,6 +10,14 @@
                       " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)));
 }
 
+/// What a log lacked, beside how far it has come.
+template <routing::link_connector Connector>
+std::string statement_engine<Connector>::describe_lag(const std::optional<sql::log_position>& floor,
+                                                      const sql::reply& got) {
+    const auto text = [](const std::optional<sql::log_position>& at) { return at ? sql::to_string(*at) : "-"; };
+    return std::string{sql::to_string(sql::refusal::behind)} + " floor=" + text(floor) + " at=" + text(got.position);
+}
+
 template <routing::link_connector Connector>
 sql::command statement_engine<Connector>::command_of(const statement_run& run) {
     sql::command out{.request_id = run.request.id, .what = run.request.what};
@@ -230,7 +238,8 @@
         return verdict::answered;
     } else {
         const auto why = got->why();
-        log_decision(event::statement_retried, run, id, sql::to_string(why));
+        log_decision(event::statement_retried, run, id,
+                     why == sql::refusal::behind ? describe_lag(want.floor, *got) : std::string{sql::to_string(why)});
         switch (why) {
         case sql::refusal::behind:
             backends.note_behind(at, want.floor);
@@ -293,7 +302,7 @@
     if (got->ok()) {
         if (got->position) {
             run.session.last_commit = got->position;
-            backends.note_primary(at, held->sent_at, got->position);
+            backends.note_commit(at, held->sent_at, *got->position);
         }
         out = *got;
         return verdict::answered;
