Few of many proxies wait at the store; liveness also by the word of others

Ruled out: longer waits alone (each change still wakes all 64), 12 or more random peers (bytes between data centres), the store's version as the registry's (a table read whole looked newer than its content).

Proxies ask those that use the same services and three others, one of them the longest silent; messages pass on who was alive when. Messages carry the deployment, and late ones of an earlier process do not count.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -19,9 +19,11 @@
 #include "cornellever/cluster/promotion.hpp"
 #include "cornellever/cluster/registry_keeper.hpp"
 #include "cornellever/cluster/snapshot.hpp"
+#include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/cluster/traffic_bridge.hpp"
 #include "cornellever/core/log.hpp"
 #include "cornellever/rpc/channel.hpp"
+#include "cornellever/rpc/fields.hpp"
 #include "cornellever/rpc/server.hpp"
 
 namespace cornellever::cluster {
@@ -31,6 +33,8 @@
     std::string name;
     std::string data_center;
     std::uint64_t incarnation{0};
+    /// The same for all proxies of a deployment, and for no others.
+    std::uint64_t cluster{0};
     asio::ip::udp::endpoint heartbeats;
     tcp::endpoint peers;
     /// Where this proxy takes callers; the others do on the same port.
@@ -79,6 +83,15 @@
     /// Adds the traffic side to what `dump` tells; called on its thread.
     void add_dump(std::function<Json::Value()> traffic) { m_dump_traffic = std::move(traffic); }
 
+    /// How this proxy keeps up with a table at present; see `watch_plan`.
+    [[nodiscard]] watch_pace pace(std::string_view table, const watch_plan& plan) const {
+        const auto rank = watch_rank(table, m_settings.name, m_members.able(boot_clock::now()));
+        return pace_of(plan, rank, m_members.counted());
+    }
+
+    /// The same for the registered servers, whose changes peers pass on.
+    void set_registry_pace(std::function<watch_pace()> pace) { m_registry_pace = std::move(pace); }
+
     [[nodiscard]] const control_counts& counts() const noexcept { return m_counts; }
 
     /// This proxy stops by plan: it replaces no primary any more, and those
@@ -114,6 +127,8 @@
     void compare_versions(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now);
     void take_reports(const peer_message& message, time_point counted_from);
     void ask_peers();
+    void greet_all();
+    void ask(std::span<const asio::ip::udp::endpoint> targets);
     void send(const peer_message& message, const asio::ip::udp::endpoint& to);
     [[nodiscard]] peer_message message_now(peer_message::kind what) const;
     void look_after(const std::string& service, watch& at);
@@ -137,15 +152,23 @@
     static constexpr std::chrono::milliseconds others_turn{1200};
     /// Nobody leads and nobody was asked to: longer than a promotion takes.
     static constexpr std::chrono::milliseconds leaderless_for{1800};
-    /// The feed of the store is given that long before a peer is asked.
-    static constexpr std::chrono::milliseconds feed_lead{200};
-    /// Versions of the registry may differ although nothing in it does: a table
-    /// read whole takes the store's newest version.
+    /// The feed of the store is given that long before a peer is asked: half a
+    /// megabyte takes 0.4 s over the slowest links (10 Mbit/s).
+    static constexpr std::chrono::milliseconds feed_lead{500};
+    /// A peer in the same data centre has what another one has a moment later,
+    /// and bytes between data centres are paid for.
+    static constexpr std::chrono::milliseconds far_lead{600};
+    /// Servers leave with notice, and one that is gone shows by itself.
     static constexpr std::chrono::milliseconds registry_lead{1500};
     /// Until the others are known, the fewest connections are used.
     static constexpr std::chrono::milliseconds unknown_for{1500};
     static constexpr std::chrono::milliseconds catch_up_limit{500};
     static constexpr std::size_t sampled_peers = 12;
+    /// Of these, proxies that have no service in common with this one. Three
+    /// questions and as many from others, twice a second, each with the word on
+    /// `passed_on` others: each of 64 proxies is heard of once a second.
+    static constexpr std::size_t sampled_others = 3;
+    static constexpr std::size_t passed_on = 6;
     /// Answers to older questions are too old to be of use.
     static constexpr std::size_t remembered_questions = 16;
     /// A report takes about 60 bytes a service.
@@ -166,6 +189,7 @@
     std::uint64_t m_last_nonce{0};
     control_counts m_counts;
     std::function<Json::Value()> m_dump_traffic{[] { return Json::Value{}; }};
+    std::function<watch_pace()> m_registry_pace{[] { return watch_pace{}; }};
     std::function<bool()> m_store_reachable{[] { return true; }};
     time_point m_started{boot_clock::now()};
     time_point m_last_heartbeat{};
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -10,8 +10,8 @@
     if (ec) {
         return fail(errc::unavailable, "cannot bind the heartbeat address: " + ec.message());
     }
-    m_rpc.on("snapshot", [this](const Json::Value&, rpc::connection&) -> asio::awaitable<result<Json::Value>> {
-        co_return to_json(m_config, m_registry.registered());
+    m_rpc.on("snapshot", [this](const Json::Value& params, rpc::connection&) -> asio::awaitable<result<Json::Value>> {
+        co_return to_json(m_config, m_registry.registered(), rpc::uint_field(params, "config_version"));
     });
     m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
@@ -54,6 +54,7 @@
     if (config.version <= m_config.version) {
         return;
     }
+    m_behind_since = {};
     m_config = config;
     m_bridge.update(std::move(config));
     for (const auto& [name, limits] : m_config.services) {
@@ -63,9 +64,14 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::take(const routing::registry& registered) {
+    m_behind_since = {};
     if (registered.version < m_registry.effective().version) {
         return;
     }
+    if (m_registry.effective().version != 0 && registered.servers == m_registry.registered().servers) {
+        m_registry.renumber(registered.version);
+        return;
+    }
     m_registry.take(registered, boot_clock::now());
     log_event(event::registry_loaded, "version=" + std::to_string(registered.version) +
                                           " servers=" + std::to_string(registered.servers.size()));
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -36,7 +36,18 @@
         co_await sleep_for(pause);
     }
     share_budget();
-    ask_peers();
+    greet_all();
+}
+
+/// Each proxy that is known learns of this one at once, and not only as it
+/// happens to be asked: whose connections count has to be the same for all.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::greet_all() {
+    std::vector<asio::ip::udp::endpoint> targets;
+    for (const auto& [name, item] : m_members.peers()) {
+        targets.push_back(item.address);
+    }
+    ask(targets);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -51,6 +62,7 @@
     const auto now = boot_clock::now();
     const auto age = [now](time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
     peer_message out{.what = what,
+                     .cluster = m_settings.cluster,
                      .sender = m_settings.name,
                      .data_center = m_settings.data_center,
                      .incarnation = m_settings.incarnation,
@@ -87,22 +99,24 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::ask_peers() {
+    std::set<std::string, std::less<>> used;
+    for (const auto& [service, at] : m_watched) {
+        if (at.seen) {
+            used.insert(service);
+        }
+    }
+    // With many proxies each asks a few, so that the work of one does not grow
+    // with their number.
+    const auto targets = m_members.to_ask(used, sampled_peers, sampled_others, m_random);
+    ask(targets.empty() ? m_settings.seeds : targets);
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::ask(std::span<const asio::ip::udp::endpoint> targets) {
     const auto now = boot_clock::now();
     m_last_heartbeat = now;
-    std::vector<asio::ip::udp::endpoint> targets;
-    for (const auto& [name, item] : m_members.peers()) {
-        targets.push_back(item.address);
-    }
-    if (targets.empty()) {
-        targets = m_settings.seeds;
-    }
-    // With many proxies each asks a few others at random, so that the work of
-    // one does not grow with their number.
-    std::ranges::shuffle(targets, m_random);
-    if (targets.size() > sampled_peers) {
-        targets.resize(sampled_peers);
-    }
     auto message = message_now(peer_message::kind::question);
+    message.heard = m_members.some_alive(passed_on, now, m_random);
     message.nonce = ++m_last_nonce;
     m_questions[message.nonce] = {now};
     while (m_questions.size() > remembered_questions) {
@@ -135,7 +149,7 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::handle(const peer_message& message, const asio::ip::udp::endpoint& from) {
-    if (message.sender == m_settings.name) {
+    if (message.sender == m_settings.name || message.cluster != m_settings.cluster) {
         return;
     }
     const auto now = boot_clock::now();
@@ -157,8 +171,12 @@
     if (m_members.hear(message, from, now, counted_from)) {
         log_event(event::member_joined, "proxy=" + message.sender);
     }
+    for (const auto& other : message.heard) {
+        m_members.hear_of(other, now);
+    }
     if (message.what == peer_message::kind::question) {
         auto answer = message_now(peer_message::kind::answer);
+        answer.heard = m_members.some_alive(passed_on, now, m_random);
         answer.nonce = message.nonce;
         if (!m_leaving) {
             send(answer, from);
@@ -178,14 +196,18 @@
     const bool behind =
         message.config_version > m_config.version || message.registry_version > m_registry.effective().version;
     if (!behind) {
-        m_behind_since = {};
         return;
     }
     if (m_behind_since == time_point{}) {
         m_behind_since = now;
     }
     const bool config_behind = message.config_version > m_config.version;
-    const auto lead = !m_store_reachable() ? std::chrono::milliseconds{0} : config_behind ? feed_lead : registry_lead;
+    auto lead = config_behind ? feed_lead : registry_lead;
+    if (!m_store_reachable()) {
+        lead = std::chrono::milliseconds{0};
+    } else if (!config_behind && !m_registry_pace().waits) {
+        lead = message.data_center == m_settings.data_center ? std::chrono::milliseconds{0} : far_lead;
+    }
     if (!m_catching_up && now - m_behind_since >= lead) {
         m_catching_up = true;
         asio::co_spawn(m_executor, catch_up(message.sender, from.address()), asio::detached);
@@ -214,7 +236,9 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::catch_up(std::string from, asio::ip::address address) {
     rpc::channel link{m_executor, tcp::endpoint{address, m_settings.peers.port()}};
-    auto answer = co_await link.call("snapshot", Json::Value{Json::objectValue}, catch_up_limit);
+    Json::Value params{Json::objectValue};
+    params["config_version"] = static_cast<Json::UInt64>(m_config.version);
+    auto answer = co_await link.call("snapshot", std::move(params), catch_up_limit);
     m_catching_up = false;
     m_behind_since = {};
     if (!answer) {
--- a/src/cornellever/cluster/membership.cpp
+++ b/src/cornellever/cluster/membership.cpp
@@ -29,11 +29,18 @@
     if (added) {
         item.known_since = now;
     }
-    const bool risen = !is_alive(item, now) || item.incarnation != message.incarnation;
+    if (message.incarnation == item.earlier_incarnation && item.earlier_incarnation != 0) {
+        return false;
+    }
+    const bool risen = item.incarnation != message.incarnation;
+    if (risen) {
+        item.earlier_incarnation = item.incarnation;
+    }
     item.address = from;
     item.data_center = message.data_center;
     item.incarnation = message.incarnation;
     item.heard_at = now;
+    item.alive_at = now;
     item.config_version = message.config_version;
     item.registry_version = message.registry_version;
     item.store_reachable = message.store_reachable;
@@ -44,6 +51,13 @@
     return risen;
 }
 
+void membership::hear_of(const heard_peer& other, time_point now) {
+    const auto found = m_peers.find(other.name);
+    if (found != m_peers.end()) {
+        found->second.alive_at = std::max(found->second.alive_at, now - other.age);
+    }
+}
+
 void membership::leave(const std::string& name) {
     m_peers.erase(name);
 }
@@ -51,7 +65,7 @@
 std::vector<std::string> membership::forget_silent(time_point now) {
     std::vector<std::string> out;
     for (const auto& [name, item] : m_peers) {
-        if (now - std::max(item.heard_at, item.known_since) > counted_for) {
+        if (now - std::max(item.alive_at, item.known_since) > counted_for) {
             out.push_back(name);
         }
     }
--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <iterator>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,8 +20,12 @@
     asio::ip::udp::endpoint address;
     std::string data_center;
     std::uint64_t incarnation{0};
+    /// Of its process before this one, whose late messages don't count.
+    std::uint64_t earlier_incarnation{0};
     /// When it last answered or asked; the epoch when never.
     boot_clock::time_point heard_at{};
+    /// When it was last alive, by its own message or by another proxy's word.
+    boot_clock::time_point alive_at{};
     /// When a message was first awaited from it.
     boot_clock::time_point known_since{};
     std::uint64_t config_version{0};
@@ -35,7 +42,8 @@
 public:
     using time_point = boot_clock::time_point;
 
-    /// A heartbeat at least every half second: two may be lost.
+    /// A heartbeat at least every half second: two may be lost. Where each asks
+    /// only some, another's word takes the place of the heartbeat.
     static constexpr std::chrono::milliseconds alive_for{1600};
     /// A proxy that was killed is back, or replaced, by then; its connections
     /// are left to it until then.
@@ -49,10 +57,60 @@
                time_point now);
 
     /// A message of a proxy, whose ages count from `counted_from`. Returns
-    /// true when it was not alive before.
+    /// true when this process of it was not known before.
     bool hear(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now,
               time_point counted_from);
 
+    /// Another proxy heard of it so long ago. One that is not known yet has no
+    /// address, and is learned of elsewhere.
+    void hear_of(const heard_peer& other, time_point now);
+
+    /// Up to `count` proxies that were alive lately, for a message.
+    template <typename Random>
+    [[nodiscard]] std::vector<heard_peer> some_alive(std::size_t count, time_point now, Random& random) const {
+        std::vector<heard_peer> alive;
+        for (const auto& [name, item] : m_peers) {
+            if (is_alive(item, now)) {
+                alive.push_back({name, std::chrono::duration_cast<std::chrono::milliseconds>(now - item.alive_at)});
+            }
+        }
+        std::vector<heard_peer> out;
+        std::ranges::sample(alive, std::back_inserter(out), static_cast<std::ptrdiff_t>(count), random);
+        return out;
+    }
+
+    /// The proxies to ask now: those that use one of `services` too, since they
+    /// see the same primaries, and `others` of the rest. Together not more than
+    /// `most`. One of the rest is the one that was silent for longest, so that
+    /// none is taken for gone that only nobody has talked to.
+    template <typename Random>
+    [[nodiscard]] std::vector<asio::ip::udp::endpoint> to_ask(const std::set<std::string, std::less<>>& services,
+                                                              std::size_t most, std::size_t others,
+                                                              Random& random) const {
+        std::vector<asio::ip::udp::endpoint> related;
+        std::vector<asio::ip::udp::endpoint> rest;
+        auto longest_silent = time_point::max();
+        for (const auto& [name, item] : m_peers) {
+            const bool shares = std::ranges::any_of(
+                item.primaries, [&](const primary_report& report) { return services.contains(report.service); });
+            (shares ? related : rest).push_back(item.address);
+            if (!shares && item.alive_at < longest_silent) {
+                longest_silent = item.alive_at;
+                std::swap(rest.front(), rest.back());
+            }
+        }
+        std::ranges::shuffle(related, random);
+        if (!rest.empty()) {
+            std::shuffle(rest.begin() + 1, rest.end(), random);
+        }
+        if (m_peers.size() > most) {
+            related.resize(std::min(related.size(), most - others));
+            rest.resize(std::min(rest.size(), others));
+        }
+        related.insert(related.end(), rest.begin(), rest.end());
+        return related;
+    }
+
     /// The proxy leaves by plan.
     void leave(const std::string& name);
 
@@ -69,7 +127,7 @@
     [[nodiscard]] std::size_t counted() const noexcept { return m_peers.size() + 1; }
 
     [[nodiscard]] static bool is_alive(const peer& item, time_point now) {
-        return item.incarnation != 0 && now - item.heard_at < alive_for;
+        return item.alive_at != time_point{} && now - item.alive_at < alive_for;
     }
 
 private:
--- a/src/cornellever/cluster/peer_message.cpp
+++ b/src/cornellever/cluster/peer_message.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 /// First word of every message; another version gets another word.
-constexpr std::string_view magic = "cl1";
+constexpr std::string_view magic = "cl2";
+
+/// Stands before the list of other proxies; no service has this name.
+constexpr std::string_view others_mark = "/";
 
 char letter_of(peer_message::kind what) {
     switch (what) {
@@ -49,6 +52,9 @@
         return out;
     }
 
+    /// The next word, left unread.
+    [[nodiscard]] std::string_view next() const { return m_rest.substr(0, m_rest.find(' ')); }
+
     std::uint64_t number() {
         const auto text = word();
         std::uint64_t out = 0;
@@ -109,12 +115,18 @@
 
 std::string encode(const peer_message& message) {
     std::ostringstream out;
-    out << magic << ' ' << letter_of(message.what) << ' ' << message.nonce << ' ' << message.sender << ' '
-        << message.data_center << ' ' << message.incarnation << ' ' << message.config_version << ' '
-        << message.registry_version << ' ' << (message.store_reachable ? 1 : 0);
+    out << magic << ' ' << letter_of(message.what) << ' ' << message.nonce << ' ' << message.cluster << ' '
+        << message.sender << ' ' << message.data_center << ' ' << message.incarnation << ' ' << message.config_version
+        << ' ' << message.registry_version << ' ' << (message.store_reachable ? 1 : 0);
     for (const auto& item : message.primaries) {
         write_report(out, item);
     }
+    if (!message.heard.empty()) {
+        out << ' ' << others_mark;
+    }
+    for (const auto& item : message.heard) {
+        out << ' ' << item.name << ' ' << item.age.count();
+    }
     return std::move(out).str();
 }
 
@@ -130,15 +142,23 @@
     peer_message out;
     out.what = *what;
     out.nonce = words.number();
+    out.cluster = words.number();
     out.sender = words.word();
     out.data_center = words.word();
     out.incarnation = words.number();
     out.config_version = words.number();
     out.registry_version = words.number();
     out.store_reachable = words.number() != 0;
-    while (words.good() && !words.done()) {
+    while (words.good() && !words.done() && words.next() != others_mark) {
         out.primaries.push_back(read_report(words));
     }
+    if (words.good() && !words.done()) {
+        (void)words.word();
+        do {
+            const auto name = words.word();
+            out.heard.push_back({std::string{name}, words.age()});
+        } while (words.good() && !words.done());
+    }
     if (!words.good()) {
         return std::nullopt;
     }
--- a/src/cornellever/cluster/peer_message.hpp
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -32,6 +32,12 @@
     std::optional<aged_sample> sample{};
 };
 
+/// Another proxy that the sender heard of, and how long ago it was alive.
+struct heard_peer {
+    std::string name;
+    std::chrono::milliseconds age{0};
+};
+
 /// A heartbeat. A question is answered with the same nonce, so that who asked
 /// knows that the ages in the answer count from after the question.
 struct peer_message {
@@ -39,6 +45,9 @@
 
     kind what{kind::question};
     std::uint64_t nonce{0};
+    /// Of the deployment: addresses are used again by others, and a message
+    /// that was meant for another deployment must not count.
+    std::uint64_t cluster{0};
     std::string sender;
     std::string data_center{"-"};
     /// Differs for each start of the sender's process.
@@ -48,6 +57,8 @@
     /// Whether the store answers the sender.
     bool store_reachable{true};
     std::vector<primary_report> primaries{};
+    /// A few others: with many proxies, each pair talks only now and then.
+    std::vector<heard_peer> heard{};
 };
 
 /// One datagram. Fields are separated by blanks: a heartbeat is sent to every
--- a/src/cornellever/cluster/registry_keeper.hpp
+++ b/src/cornellever/cluster/registry_keeper.hpp
@@ -21,6 +21,12 @@
     /// Takes the registered servers as they are now.
     void take(const routing::registry& registered, time_point now);
 
+    /// The same servers under a newer version.
+    void renumber(std::uint64_t version) {
+        m_registered.version = version;
+        m_effective.version = version;
+    }
+
     /// Drops what has been missing for too long; true when that changed
     /// anything.
     bool expire(time_point now);
--- a/src/cornellever/cluster/snapshot.cpp
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -67,17 +67,10 @@
     return out;
 }
 
-} // namespace
-
-Json::Value to_json(const routing::configuration& config, const routing::registry& servers) {
-    Json::Value out;
-    out["config_version"] = static_cast<Json::UInt64>(config.version);
-    out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
-    out["routes"] = Json::arrayValue;
+void append_details(const routing::configuration& config, Json::Value& out) {
     for (const auto& [name, route] : config.routes) {
         out["routes"].append(to_json(route));
     }
-    out["services"] = Json::arrayValue;
     for (const auto& [name, limits] : config.services) {
         Json::Value item;
         item["service"] = name;
@@ -85,6 +78,20 @@
         item["synchronous_replicas"] = limits.synchronous_replicas;
         out["services"].append(std::move(item));
     }
+}
+
+} // namespace
+
+Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
+                    std::uint64_t known_config_version) {
+    Json::Value out;
+    out["config_version"] = static_cast<Json::UInt64>(config.version);
+    out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
+    out["routes"] = Json::arrayValue;
+    out["services"] = Json::arrayValue;
+    if (config.version > known_config_version) {
+        append_details(config, out);
+    }
     out["registry_version"] = static_cast<Json::UInt64>(servers.version);
     out["servers"] = Json::arrayValue;
     for (const auto& [id, server] : servers.servers) {
--- a/src/cornellever/cluster/snapshot.hpp
+++ b/src/cornellever/cluster/snapshot.hpp
@@ -13,7 +13,10 @@
     routing::registry servers;
 };
 
-[[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers);
+/// Routes and services are left out where the other has this version of the
+/// configuration already: they take 170 bytes a route.
+[[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
+                                  std::uint64_t known_config_version = 0);
 
 /// Errors: `bad_request` when a field is missing or of another type.
 [[nodiscard]] result<proxy_snapshot> snapshot_from_json(const Json::Value& from);
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "cornellever/cluster/metadata_store.hpp"
+#include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/core/log.hpp"
 
@@ -23,20 +24,24 @@
 template <metadata_store Store>
 class table_follower {
 public:
+    /// Takes the rows, and the version of the last change to any of them.
     using on_change = std::function<void(const table_rows& rows, std::uint64_t version)>;
 
-    /// `wait` tells how long one question for changes may wait: a connection
-    /// that went silent is noticed that long after, plus the store's own call
+    /// `pace` is asked before each question: a connection that went silent is
+    /// noticed when the wait that it told has passed, plus the store's own call
     /// limit.
-    table_follower(Store& store, std::string table, std::function<std::chrono::milliseconds()> wait, on_change changed)
+    table_follower(Store& store, std::string table, std::function<watch_pace()> pace, on_change changed)
         : m_store{store}
         , m_table{std::move(table)}
-        , m_wait{std::move(wait)}
+        , m_pace{std::move(pace)}
         , m_changed{std::move(changed)} {}
 
     /// Follows until the event loop ends.
     asio::awaitable<void> run() {
         for (;;) {
+            if (m_whole && m_failures == 0 && !m_pace().waits) {
+                co_await rest();
+            }
             auto got = co_await ask();
             if (got) {
                 note_answer();
@@ -61,13 +66,28 @@
     static constexpr std::chrono::milliseconds first_pause{80};
     static constexpr std::chrono::milliseconds longest_pause{700};
 
+    static constexpr std::chrono::milliseconds rest_step{250};
+
+    /// Lets the time between two readings pass, unless it becomes this proxy's
+    /// turn to wait for changes.
+    asio::awaitable<void> rest() {
+        const auto begun = boot_clock::now();
+        while (!m_pace().waits) {
+            if (boot_clock::now() - begun >= m_pace().span) {
+                m_whole = false;
+                co_return;
+            }
+            co_await sleep_for(rest_step);
+        }
+    }
+
     asio::awaitable<result<store_rows>> ask() {
         if (!m_whole) {
             return m_store.list(m_table);
         }
         // After a failure the store is asked for an answer at once: the wait for
         // a change would keep its return unknown for as long.
-        return m_store.changes(m_table, m_version, m_failures > 0 ? std::chrono::milliseconds{0} : m_wait());
+        return m_store.changes(m_table, m_version, m_failures > 0 ? std::chrono::milliseconds{0} : m_pace().span);
     }
 
     void take(store_rows got) {
@@ -79,6 +99,7 @@
         bool changed = first;
         for (auto& row : got.rows) {
             changed = true;
+            m_last_change = std::max(m_last_change, row.version);
             if (row.deleted) {
                 m_rows.erase(row.key);
             } else {
@@ -87,7 +108,7 @@
         }
         m_version = std::max(m_version, got.version);
         if (changed) {
-            m_changed(m_rows, m_version);
+            m_changed(m_rows, m_last_change);
         }
     }
 
@@ -116,10 +137,14 @@
 
     Store& m_store;
     std::string m_table;
-    std::function<std::chrono::milliseconds()> m_wait;
+    std::function<watch_pace()> m_pace;
     on_change m_changed;
     table_rows m_rows;
     std::uint64_t m_version{0};
+    /// The newest version of a row. The store's own version grows with changes
+    /// to other tables too, and would look newer to those who read this one
+    /// before, although nothing in it is.
+    std::uint64_t m_last_change{0};
     bool m_whole{false};
     int m_failures{0};
     std::minstd_rand m_random{std::random_device{}()};
--- a/src/cornellever/routing/model.hpp
+++ b/src/cornellever/routing/model.hpp
@@ -60,6 +60,8 @@
     std::size_t slots{1};
     bool draining{false};
     server_role role{server_role::replica};
+
+    friend bool operator==(const backend_server&, const backend_server&) = default;
 };
 
 /// The registered backend servers at one version of the registry.
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 
+#include "cornellever/core/stable_hash.hpp"
 #include "cornellever/routing/connection_budget.hpp"
 
 namespace cornellever::session {
@@ -22,22 +23,6 @@
 /// connection each brings.
 constexpr std::size_t few_proxies = 12;
 
-/// FNV-1a, followed by a mix: the same on every proxy, unlike std::hash.
-std::uint64_t weight_of(std::string_view service, std::string_view proxy) {
-    std::uint64_t out = 14695981039346656037ULL;
-    const auto add = [&out](std::string_view text) {
-        for (const char byte : text) {
-            out = (out ^ static_cast<unsigned char>(byte)) * 1099511628211ULL;
-        }
-    };
-    add(service);
-    add("/");
-    add(proxy);
-    out ^= out >> 33U;
-    out *= 0xff51afd7ed558ccdULL;
-    return out ^ (out >> 33U);
-}
-
 } // namespace
 
 bool ownership::owns(std::string_view proxy) const {
@@ -57,7 +42,7 @@
         by_place[item.data_center].push_back(&item);
     }
     for (auto& [place, items] : by_place) {
-        std::ranges::sort(items, {}, [&](const auto* item) { return weight_of(service, item->name); });
+        std::ranges::sort(items, {}, [&](const auto* item) { return stable_hash({service, "/", item->name}); });
     }
     ownership out;
     // One of each data centre in turn: a session finds an owner nearby.
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -1,12 +1,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <random>
+#include <set>
 
 #include "cornellever/cluster/membership.hpp"
 #include "cornellever/cluster/peer_message.hpp"
 #include "cornellever/cluster/primary_judge.hpp"
 #include "cornellever/cluster/registry_keeper.hpp"
 #include "cornellever/cluster/snapshot.hpp"
+#include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/cluster/table_follower.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "fake_link.hpp"
@@ -122,6 +125,7 @@
 BOOST_AUTO_TEST_CASE(a_message_is_read_as_it_was_written) {
     cluster::peer_message message{.what = cluster::peer_message::kind::answer,
                                   .nonce = 5,
+                                  .cluster = 77,
                                   .sender = "proxy-1",
                                   .incarnation = 9,
                                   .config_version = 7,
@@ -135,6 +139,7 @@
                                  .refused = true,
                                  .sample = cluster::aged_sample{8ms, {2, 66}}});
     message.primaries.push_back({.service = "other"});
+    message.heard.push_back({"proxy-2", 40ms});
     const auto back = cluster::decode(cluster::encode(message));
     BOOST_TEST_REQUIRE(back.has_value());
     BOOST_TEST(back->sender == "proxy-1");
@@ -143,11 +148,17 @@
     BOOST_TEST(back->primaries[0].refused);
     BOOST_TEST((back->primaries[0].sample->position == sql::log_position{2, 66}));
     BOOST_TEST(back->primaries[1].primary.empty());
+    BOOST_TEST(back->cluster == 77U);
+    BOOST_TEST_REQUIRE(back->heard.size() == 1U);
+    BOOST_TEST(back->heard[0].name == "proxy-2");
+    BOOST_TEST((back->heard[0].age == 40ms));
 }
 
 BOOST_AUTO_TEST_CASE(anything_else_is_not_a_message) {
-    for (const auto* bytes : {"", "cl1", "cl2 q 1 a 1 1 1 1", "cl1 x 1 a d 1 1 1 1", "cl1 q one a d 1 1 1 1",
-                              "cl1 q 1 a d 1 1 1 1 stock p 1", "cl1 q 1 a d 1 1 1 1 stock p 1 1 .s 5 1"}) {
+    for (const auto* bytes :
+         {"", "cl2", "cl1 q 1 7 a 1 1 1 1", "cl2 x 1 7 a d 1 1 1 1", "cl2 q one 7 a d 1 1 1 1",
+          "cl2 q 1 seven a d 1 1 1 1", "cl2 q 1 7 a d 1 1 1 1 stock p 1", "cl2 q 1 7 a d 1 1 1 1 stock p 1 1 .s 5 1",
+          "cl2 q 1 7 a d 1 1 1 1 /", "cl2 q 1 7 a d 1 1 1 1 / b", "cl2 q 1 7 a d 1 1 1 1 / b soon"}) {
         BOOST_TEST(!cluster::decode(bytes), bytes);
     }
 }
@@ -172,6 +183,61 @@
     BOOST_TEST(members.counted() == 1U);
 }
 
+// Half of the proxies are taken for dead and come back all the time although
+// nothing is wrong, and connections are shared out anew each time: of 64
+// proxies each talks to any other one only every few seconds.
+BOOST_AUTO_TEST_CASE(a_proxy_is_alive_by_the_word_of_another) {
+    using namespace cornellever::cluster;
+    membership members{"b"};
+    const asio::ip::udp::endpoint where{asio::ip::make_address("10.0.0.1"), 7000};
+    members.learn("a", "here", where, start);
+    members.hear_of({"a", 300ms}, start + 5s);
+    members.hear_of({"nobody", 0ms}, start + 5s);
+    BOOST_TEST((members.able(start + 6s) == std::vector<std::string>{"a", "b"}));
+    BOOST_TEST(members.able(start + 7s).size() == 1U);
+    BOOST_TEST(members.forget_silent(start + 12s).empty());
+    BOOST_TEST(members.forget_silent(start + 13s).size() == 1U);
+    BOOST_TEST(members.counted() == 1U);
+}
+
+// A promotion is judged by what a process said that has been replaced since:
+// its datagram was under way while the next process started.
+BOOST_AUTO_TEST_CASE(a_late_message_of_an_earlier_process_does_not_count) {
+    using namespace cornellever::cluster;
+    membership members{"b"};
+    const asio::ip::udp::endpoint where{asio::ip::make_address("10.0.0.1"), 7000};
+    peer_message old{.sender = "a", .incarnation = 1};
+    old.primaries.push_back({.service = "stock", .primary = "p"});
+    BOOST_TEST(members.hear(old, where, start, start));
+    BOOST_TEST(members.hear({.sender = "a", .incarnation = 2}, where, start + 1s, start + 1s));
+    BOOST_TEST(!members.hear(old, where, start + 2s, start + 2s));
+    BOOST_TEST(members.peers().at("a").incarnation == 2U);
+    BOOST_TEST(members.peers().at("a").primaries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(those_that_see_the_same_primaries_are_asked_first) {
+    using namespace cornellever::cluster;
+    membership members{"self"};
+    std::minstd_rand random{7};
+    for (int i = 0; i < 40; ++i) {
+        peer_message message{.sender = "p" + std::to_string(i), .incarnation = 1};
+        message.primaries.push_back({.service = i < 4 ? "stock" : "other", .primary = "p"});
+        members.hear(message, {asio::ip::make_address("10.0.0.1"), static_cast<std::uint16_t>(7000 + i)}, start, start);
+    }
+    const asio::ip::udp::endpoint silent{asio::ip::make_address("10.0.0.1"), 7020};
+    for (int i = 0; i < 40; ++i) {
+        if (i != 20) {
+            members.hear_of({"p" + std::to_string(i), 0ms}, start + 500ms);
+        }
+    }
+    const auto asked = members.to_ask({"stock"}, 12, 3, random);
+    BOOST_TEST(std::ranges::count(asked, silent) == 1);
+    BOOST_TEST(asked.size() == 7U);
+    BOOST_TEST(std::ranges::count_if(asked, [](const auto& item) { return item.port() < 7004; }) == 4);
+    BOOST_TEST(members.some_alive(6, start + 1s, random).size() == 6U);
+    BOOST_TEST(members.some_alive(6, start + 4s, random).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_snapshot_is_read_as_it_was_written) {
     const auto config = test::three_databases(4);
     auto servers = test::three_servers();
@@ -187,6 +253,10 @@
     BOOST_TEST(back->servers.servers.at("p").draining);
     BOOST_TEST((back->servers.servers.at("p").role == routing::server_role::primary));
     BOOST_TEST(!cluster::snapshot_from_json(Json::Value{3}));
+    const auto known = cluster::snapshot_from_json(cluster::to_json(config, servers, 4));
+    BOOST_TEST_REQUIRE(known.has_value());
+    BOOST_TEST(known->config.routes.empty());
+    BOOST_TEST(known->servers.servers.size() == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -233,7 +303,10 @@
     store.feeds.push_back(fail(errc::behind, "gone"));
     store.lists.push_back(cluster::store_rows{{{"a", "3", 9, false}}, 9, 0ms});
     std::vector<std::pair<std::size_t, std::string>> seen_rows;
-    cluster::table_follower follower{store, "t", [] { return 10ms; },
+    cluster::table_follower follower{store, "t",
+                                     [] {
+                                         return cluster::watch_pace{true, 10ms};
+                                     },
                                      [&](const cluster::table_rows& rows, std::uint64_t) {
                                          seen_rows.emplace_back(rows.size(), rows.at("a").value);
                                      }};
@@ -248,4 +321,44 @@
     io.abandon_pending();
 }
 
+// With 64 proxies each change of one server took 64 calls to the store, which
+// answers a limited number a second from all together.
+BOOST_AUTO_TEST_CASE(few_of_many_proxies_wait_for_changes) {
+    using namespace cornellever::cluster;
+    constexpr watch_plan plan{.first = 1s, .few = 8s, .many = 12s, .readers = 4};
+    BOOST_TEST((pace_of(plan, 0, 64).waits && pace_of(plan, 0, 64).span == 1s));
+    BOOST_TEST((pace_of(plan, 3, 64).waits && pace_of(plan, 3, 64).span == 12s));
+    BOOST_TEST(!pace_of(plan, 4, 64).waits);
+    BOOST_TEST((pace_of(plan, 4, 7).waits && pace_of(plan, 4, 7).span == 8s));
+    const std::vector<std::string> able{"a", "b", "c", "d", "e"};
+    std::set<std::size_t> ranks;
+    for (const auto& name : able) {
+        ranks.insert(watch_rank("servers", name, able));
+    }
+    BOOST_TEST(ranks.size() == able.size());
+}
+
+// Servers stay unknown to a proxy whose peers all died: it read the table once
+// and relied on them for changes.
+BOOST_AUTO_TEST_CASE(a_proxy_that_relies_on_peers_reads_the_table_when_its_turn_comes) {
+    event_loop io;
+    scripted_store store{.io = io};
+    store.lists.push_back(cluster::store_rows{{{"a", "1", 3, false}}, 8, 0ms});
+    store.feeds.push_back(cluster::store_rows{{{"a", "2", 9, false}}, 9, 0ms});
+    bool turn = false;
+    std::vector<std::uint64_t> versions;
+    cluster::table_follower follower{
+        store, "t",
+        [&] {
+            return cluster::watch_pace{std::exchange(turn, true), 1h};
+        },
+        [&](const cluster::table_rows&, std::uint64_t version) { versions.push_back(version); }};
+    asio::co_spawn(io, follower.run(), asio::detached);
+    io.run();
+    // The version of the last change, not that of the store.
+    BOOST_TEST((versions == std::vector<std::uint64_t>{3, 9}));
+    BOOST_TEST(store.asked_after.front() == 8U);
+    io.abandon_pending();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
