Fault soak: real proxies, emulated platform, faults from outside; no planned handover to a leaving server

Ruled out: proxies that did not know of the draining (all logged the registry), the emulator (its own faults are mended before: listening sockets that lived on in the children, connections of silenced callers that were never dropped).

Change: a leaving replica is promoted only when the primary is lost; a primary that leaves with nobody to take over goes on until a server registers.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -22,6 +22,7 @@
 #include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/cluster/traffic_bridge.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/stable_hash.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/fields.hpp"
 #include "cornellever/rpc/server.hpp"
@@ -33,8 +34,6 @@
     std::string name;
     std::string data_center;
     std::uint64_t incarnation{0};
-    /// The same for all proxies of a deployment, and for no others.
-    std::uint64_t cluster{0};
     asio::ip::udp::endpoint heartbeats;
     tcp::endpoint peers;
     /// Where this proxy takes callers; the others do on the same port.
@@ -121,8 +120,10 @@
     asio::awaitable<void> receive();
     asio::awaitable<void> tick();
     asio::awaitable<void> register_self();
+    asio::awaitable<void> take_proxies(store_rows listed);
+    asio::awaitable<void> name_cluster();
     asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
-    asio::awaitable<void> replace(std::string service, std::string old);
+    asio::awaitable<void> replace(std::string service, std::string old, primary_verdict why);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
     void compare_versions(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now);
     void take_reports(const peer_message& message, time_point counted_from);
@@ -138,6 +139,9 @@
     [[nodiscard]] bool suspicious() const;
     void share_budget();
 
+    static constexpr std::string_view proxies_table = "proxies";
+    /// The row of that table that holds `m_cluster`; no proxy has this name.
+    static constexpr std::string_view cluster_key = ".cluster";
     static constexpr std::chrono::milliseconds tick_period{100};
     /// Often enough that a peer's sample is fresh for a read that may be 1.5 s
     /// old, and that two lost datagrams do not make a proxy look dead.
@@ -148,6 +152,8 @@
     static constexpr std::chrono::milliseconds turn_step{250};
     static constexpr std::ptrdiff_t longest_turn = 6;
     static constexpr std::chrono::milliseconds retry_pause{300};
+    /// No replica stays: a new server has to register first.
+    static constexpr std::chrono::milliseconds successor_wait{800};
     /// Another proxy has claimed the promotion, which takes 1.2 s.
     static constexpr std::chrono::milliseconds others_turn{1200};
     /// Nobody leads and nobody was asked to: longer than a promotion takes.
@@ -187,6 +193,9 @@
     std::map<std::string, watch, std::less<>> m_watched;
     std::map<std::uint64_t, asked> m_questions;
     std::uint64_t m_last_nonce{0};
+    /// Tells the proxies of this deployment from those of others; 0 until it
+    /// was read from the store.
+    std::uint64_t m_cluster{0};
     control_counts m_counts;
     std::function<Json::Value()> m_dump_traffic{[] { return Json::Value{}; }};
     std::function<watch_pace()> m_registry_pace{[] { return watch_pace{}; }};
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -81,7 +81,7 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::prepare_to_leave() {
     m_leaving = true;
-    const auto removed = co_await m_store.remove("proxies", m_settings.name);
+    const auto removed = co_await m_store.remove(std::string{proxies_table}, m_settings.name);
     if (!removed) {
         // The others drop a silent proxy by themselves after a while.
         log_event(event::store_lost, "table=proxies reason=\"" + removed.error().message + "\"");
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -9,7 +9,7 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
     constexpr std::chrono::milliseconds pause{400};
-    const std::string table{"proxies"};
+    const std::string table{proxies_table};
     const auto address = m_settings.heartbeats.address().to_string() + ":" +
                          std::to_string(m_settings.heartbeats.port()) + " " + m_settings.data_center;
     for (;;) {
@@ -20,25 +20,57 @@
         co_await sleep_for(pause);
     }
     for (;;) {
-        const auto rows = co_await m_store.list(table);
+        auto rows = co_await m_store.list(table);
         if (rows) {
-            for (const auto& row : rows->rows) {
-                tcp::endpoint where;
-                const auto blank = row.value.find(' ');
-                if (blank != std::string::npos && parse_endpoint(row.value.substr(0, blank), where)) {
-                    m_members.learn(row.key, row.value.substr(blank + 1), {where.address(), where.port()},
-                                    boot_clock::now());
-                }
-            }
-            m_listed = true;
+            co_await take_proxies(std::move(*rows));
             break;
         }
         co_await sleep_for(pause);
     }
+    m_listed = true;
     share_budget();
     greet_all();
 }
 
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::take_proxies(store_rows listed) {
+    for (const auto& row : listed.rows) {
+        if (row.key == cluster_key) {
+            m_cluster = stable_hash({row.value});
+            continue;
+        }
+        tcp::endpoint where;
+        const auto blank = row.value.find(' ');
+        if (blank != std::string::npos && parse_endpoint(row.value.substr(0, blank), where)) {
+            m_members.learn(row.key, row.value.substr(blank + 1), {where.address(), where.port()}, boot_clock::now());
+        }
+    }
+    if (m_cluster == 0) {
+        co_await name_cluster();
+    }
+}
+
+/// The first proxy of a deployment gives it an id. Whose row it became is read
+/// back: another may have been faster, or the answer was lost.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::name_cluster() {
+    const std::string table{proxies_table};
+    const std::string key{cluster_key};
+    const auto mine = m_settings.name + "/" + std::to_string(m_settings.incarnation);
+    const auto written = co_await m_store.write_if(table, key, mine, 0);
+    if (written) {
+        m_cluster = stable_hash({mine});
+        co_return;
+    }
+    const auto row = co_await m_store.read(table, key);
+    if (row && row->version != 0) {
+        m_cluster = stable_hash({row->value});
+        co_return;
+    }
+    // Without an id all messages count, as they do from proxies that have none.
+    log_event(event::store_lost, "table=" + table + " reason=cluster_id");
+}
+
 /// Each proxy that is known learns of this one at once, and not only as it
 /// happens to be asked: whose connections count has to be the same for all.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -62,7 +94,7 @@
     const auto now = boot_clock::now();
     const auto age = [now](time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
     peer_message out{.what = what,
-                     .cluster = m_settings.cluster,
+                     .cluster = m_cluster,
                      .sender = m_settings.name,
                      .data_center = m_settings.data_center,
                      .incarnation = m_settings.incarnation,
@@ -149,7 +181,8 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::handle(const peer_message& message, const asio::ip::udp::endpoint& from) {
-    if (message.sender == m_settings.name || message.cluster != m_settings.cluster) {
+    const bool stray = message.cluster != m_cluster && message.cluster != 0 && m_cluster != 0;
+    if (message.sender == m_settings.name || stray) {
         return;
     }
     const auto now = boot_clock::now();
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -104,20 +104,23 @@
         return;
     }
     at.replacing = true;
-    asio::co_spawn(m_executor, replace(service, at.primary), asio::detached);
+    asio::co_spawn(m_executor, replace(service, at.primary, verdict), asio::detached);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-asio::awaitable<void> control<Store, Orders, Connector>::replace(std::string service, std::string old) {
+asio::awaitable<void> control<Store, Orders, Connector>::replace(std::string service, std::string old,
+                                                                 primary_verdict why) {
     log_event(event::failover_started, "service=" + service + " old=" + old);
-    const auto ended = co_await m_promotion.run(service, old);
+    const auto ended = co_await m_promotion.run(service, old, why);
     const bool done = ended.state == "done";
     ++(done ? m_counts.promoted : m_counts.given_up);
     log_event(done ? event::failover_done : event::failover_given_up,
               "service=" + service + " old=" + old + " successor=" + ended.successor + " event=" + ended.event);
     auto& at = m_watched[service];
     at.replacing = false;
-    at.not_before = boot_clock::now() + (ended.event == "held_by_other" ? others_turn : retry_pause);
+    at.not_before = boot_clock::now() + (ended.event == "held_by_other" ? others_turn
+                                         : ended.event == "all_leave"   ? successor_wait
+                                                                        : retry_pause);
     at.leaderless_since = boot_clock::now();
 }
 
--- a/src/cornellever/cluster/promotion.hpp
+++ b/src/cornellever/cluster/promotion.hpp
@@ -62,9 +62,10 @@
         , m_holder{std::move(holder)}
         , m_claimant{std::move(claimant)} {}
 
-    /// Runs the chart once, to replace `old` (empty when no primary is known).
-    asio::awaitable<promotion_outcome> run(std::string service, std::string old) {
-        attempt now{.service = std::move(service), .old = std::move(old)};
+    /// Runs the chart once, to replace `old` (empty when no primary is known),
+    /// which is judged lost or leaving.
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why) {
+        attempt now{.service = std::move(service), .old = std::move(old), .why = why};
         std::string state = m_steps.start();
         std::string event;
         while (!m_steps.action(state).empty()) {
@@ -82,6 +83,7 @@
     struct attempt {
         std::string service;
         std::string old;
+        primary_verdict why{primary_verdict::lost};
         std::string successor{};
         std::uint64_t token{0};
         int orders{0};
@@ -118,9 +120,9 @@
             now.successor = leading->id;
             co_return "leads_already";
         }
-        const auto chosen = choose_successor(reports);
+        const auto chosen = choose_successor(reports, now.why);
         if (!chosen) {
-            co_return "none_answered";
+            co_return reports.empty() ? "none_answered" : "all_leave";
         }
         now.successor = chosen->id;
         co_return "chosen";
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 
+#include "cornellever/cluster/primary_judge.hpp"
 #include "cornellever/sql/position.hpp"
 
 namespace cornellever::cluster {
@@ -18,8 +19,11 @@
     bool leads{false};
 };
 
-/// The replica to promote: one that stays, with the longest log; a leaving
-/// one only when no other answered. Nothing when none did.
-[[nodiscard]] std::optional<replica_report> choose_successor(std::span<const replica_report> replicas);
+/// The replica to promote: one that stays, with the longest log. A leaving one
+/// only when the primary is lost and no other answered: handed to it by plan,
+/// the lead would have to move on within seconds, and writes stand still each
+/// time. Nothing when none fits.
+[[nodiscard]] std::optional<replica_report> choose_successor(std::span<const replica_report> replicas,
+                                                             primary_verdict why);
 
 } // namespace cornellever::cluster
--- /dev/null
+++ b/tests/soak/proxy_process.cpp
@@ -0,0 +1,72 @@
+#include "proxy_process.hpp"
+
+#include <csignal>
+#include <fstream>
+
+#include <boost/process/handles.hpp>
+#include <boost/process/io.hpp>
+
+#include "cornellever/core/daemon.hpp"
+
+namespace cornellever::soak {
+
+namespace {
+
+tcp::endpoint at(const std::string& ip, unsigned short port) {
+    return {asio::ip::make_address(ip), port};
+}
+
+} // namespace
+
+proxy_process::proxy_process(asio::io_context& io, std::string binary, std::filesystem::path folder, std::string name,
+                             std::string data_center, const std::string& ip, const tcp::endpoint& seed,
+                             const tcp::endpoint& store)
+    : m_binary{std::move(binary)}
+    , m_folder{std::move(folder)}
+    , m_name{std::move(name)}
+    , m_callers{at(ip, 8001)}
+    , m_readiness{at(ip, 8002)}
+    , m_store_path{io, at(ip, 8010), store} {
+    std::ofstream file{m_folder / (m_name + ".ini")};
+    file << "[serve]\nname = " << m_name << "\ndata_center = " << data_center << "\ncallers = " << to_string(m_callers)
+         << "\nreadiness = " << to_string(m_readiness) << "\npeers = " << to_string(at(ip, 8003))
+         << "\nheartbeats = " << to_string(at(ip, 8004)) << "\nseeds = " << to_string(seed)
+         << "\nstore = " << to_string(m_store_path.address()) << "\norders = " << to_string(m_store_path.address())
+         << "\ngrace_s = 6\n";
+    m_store_path.open();
+}
+
+void proxy_process::start() {
+    namespace process = boost::process;
+    const auto log = m_folder / (m_name + ".log");
+    auto* out = std::fopen(log.c_str(), "ae");
+    // Sockets of the emulated servers must not live on in the child when they
+    // are closed here.
+    m_child = std::make_unique<process::child>(m_binary, "serve", "--settings", (m_folder / (m_name + ".ini")).string(),
+                                               process::std_out > out, process::std_err > out, process::limit_handles);
+    std::fclose(out);
+    stopping_since.reset();
+    paused_until.reset();
+    start_at.reset();
+    ready = false;
+    missed_checks = 0;
+}
+
+void proxy_process::signal(int number) {
+    if (m_child != nullptr) {
+        ::kill(m_child->id(), number);
+    }
+}
+
+std::optional<int> proxy_process::ended() {
+    std::error_code ignored;
+    if (m_child == nullptr || m_child->running(ignored)) {
+        return std::nullopt;
+    }
+    const auto code = m_child->native_exit_code();
+    m_child.reset();
+    ready = false;
+    return code;
+}
+
+} // namespace cornellever::soak
