--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -54,12 +54,12 @@
     }
 }
 
-bool read_floor::in_present_term(const freshness_sample& sample) const {
-    return sample.position.term == m_samples.back().position.term;
+bool read_floor::in_present_term(const sql::log_position& at) const {
+    return at.term == m_samples.back().position.term;
 }
 
 bool read_floor::entry_known(const freshness_sample& sample) const {
-    return in_present_term(sample) && m_first_entry && sample.position.number >= *m_first_entry;
+    return in_present_term(sample.position) && m_first_entry && sample.position.number >= *m_first_entry;
 }
 
 /// A commit of an older term that the present primary did not have when it was
@@ -83,13 +83,13 @@
     const std::ranges::subrange recent{m_samples.begin() + static_cast<std::ptrdiff_t>(oldest), m_samples.end()};
     const auto known = std::ranges::find_if(recent, [&](const auto& sample) { return entry_known(sample); });
     const bool settled = known != recent.end() && known->asked_at <= now - replicas_apply_within;
-    if (!settled && !in_present_term(first) && !rolled_back(first.position)) {
+    if (!settled && !in_present_term(first.position) && !rolled_back(first.position)) {
         return first.position;
     }
     if (known != recent.end()) {
         return known->position;
     }
-    return std::ranges::find_if(recent, [&](const auto& sample) { return in_present_term(sample); })->position;
+    return std::ranges::find_if(recent, [&](const auto& sample) { return in_present_term(sample.position); })->position;
 }
 
 std::optional<sql::log_position> read_floor::floor(time_point now, std::chrono::milliseconds max_staleness,
@@ -100,11 +100,17 @@
         return std::nullopt;
     }
     const auto out = weakest_sufficient(static_cast<std::size_t>(oldest - m_samples.begin()), now);
-    if (own_commit && !rolled_back(*own_commit)) {
-        // One of a later term implies all of the earlier that was kept.
+    if (!own_commit || in_present_term(out)) {
+        // An entry of the present term implies all of earlier ones that was kept.
+        return own_commit && own_commit->term == out.term ? std::max(out, *own_commit) : out;
+    }
+    if (!rolled_back(*own_commit)) {
         return std::max(out, *own_commit);
     }
-    return out;
+    // The session's last commit is gone; one before it may have been kept, and
+    // an older term's sample does not tell. Any entry of the present term does.
+    const auto known = std::ranges::find_if(m_samples, [&](const auto& sample) { return entry_known(sample); });
+    return known == m_samples.end() ? std::nullopt : std::optional{known->position};
 }
 
 const freshness_sample* read_floor::newest() const noexcept {
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -39,7 +39,7 @@
     [[nodiscard]] const freshness_sample* newest() const noexcept;
 
 private:
-    [[nodiscard]] bool in_present_term(const freshness_sample& sample) const;
+    [[nodiscard]] bool in_present_term(const sql::log_position& at) const;
     [[nodiscard]] bool entry_known(const freshness_sample& sample) const;
     [[nodiscard]] bool rolled_back(const sql::log_position& at) const;
     [[nodiscard]] sql::log_position weakest_sufficient(std::size_t oldest, time_point now) const;
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -48,6 +48,8 @@
         routing::database_route route;
         pool* backends{nullptr};
         bool read_only{false};
+        /// What the log of its server had to hold; nothing on the primary.
+        std::optional<sql::log_position> floor{};
         bool wrote{false};
         bool failed{false};
         lease pinned{};
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -43,6 +43,7 @@
             opened = co_await arm(backends, held, run.until());
         } else {
             opened = co_await open_read_only(backends, held, want.floor, run.until());
+            inside.floor = want.floor;
         }
         if (opened) {
             inside.pinned = std::move(held);
@@ -77,7 +78,7 @@
     auto& at = *held->home;
     sql::reply out;
     if (got && got->ok()) {
-        log_served(*inside.backends, held, run, std::nullopt);
+        log_served(*inside.backends, held, run, inside.floor);
         out = *got;
         if (inside.wrote && got->position) {
             run.session.last_commit = got->position;
@@ -139,7 +140,7 @@
         }
         co_return fail_inside(inside, run, sql::to_string(got->why()));
     }
-    log_served(*inside.backends, held, run, std::nullopt);
+    log_served(*inside.backends, held, run, inside.floor);
     auto out = *got;
     out.state = sql::transaction_state::open;
     co_return out;
--- a/tests/soak/proxy_process.cpp
+++ b/tests/soak/proxy_process.cpp
@@ -45,6 +45,7 @@
     m_child = std::make_unique<process::child>(m_binary, "serve", "--settings", (m_folder / (m_name + ".ini")).string(),
                                                process::std_out > out, process::std_err > out, process::limit_handles);
     std::fclose(out);
+    started_at = boot_clock::now();
     stopping_since.reset();
     paused_until.reset();
     start_at.reset();
--- a/tests/soak/proxy_process.hpp
+++ b/tests/soak/proxy_process.hpp
@@ -36,6 +36,7 @@
     /// In the balancer's rotation.
     bool ready{false};
     int missed_checks{0};
+    time_point started_at{};
     /// Asked to stop by plan.
     std::optional<time_point> stopping_since{};
     /// Stopped by a signal until then.
--- a/tests/unit/read_floor.cpp
+++ b/tests/unit/read_floor.cpp
@@ -85,6 +85,22 @@
     BOOST_TEST((floor.floor(start + 1400ms, 1500ms, std::nullopt) == log_position{2, 69}));
 }
 
+// A session does not see what it wrote: it made two commits, of which the new
+// primary had received the first only. The second is owed to nobody, and with
+// it the floor of the first was dropped.
+BOOST_AUTO_TEST_CASE(a_commit_before_one_that_was_rolled_back_is_seen) {
+    routing::read_floor floor;
+    floor.add(sample(0ms, {1, 143}));
+    floor.add(sample(2400ms, {1, 401}));
+    floor.add(sample(2500ms, {2, 402}));
+    // Whether 1.401 was the session's own too nobody remembers: the primary
+    // alone is known to hold it.
+    BOOST_TEST(!floor.floor(start + 2500ms, 2500ms, log_position{1, 404}));
+    BOOST_TEST((floor.floor(start + 2500ms, 2500ms, log_position{1, 401}) == log_position{1, 401}));
+    floor.add(sample(2550ms, {2, 403}));
+    BOOST_TEST((floor.floor(start + 2600ms, 2500ms, log_position{1, 404}) == log_position{2, 403}));
+}
+
 // Nothing is written for long after a promotion, so that no position of the
 // new term exists; the newest of the old one is enough as long as it is recent.
 BOOST_AUTO_TEST_CASE(an_acknowledged_commit_proves_its_entry) {
