--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -124,6 +124,18 @@
     }
 }
 
+// Writes stand still for 2.5 s instead of 1.9 s after a primary went dark: the
+// proxy whose turn it was saw its connections broken by the network's own time
+// limit, took that for a restart of the server, and waited for a new connection
+// to time out before it judged the primary lost.
+BOOST_AUTO_TEST_CASE(a_connection_that_the_network_gave_up_is_no_mere_end) {
+    using platform::line_socket;
+    BOOST_TEST((platform::ending_of(asio::error::timed_out) == line_socket::ending::unreachable));
+    BOOST_TEST((platform::ending_of(asio::error::host_unreachable) == line_socket::ending::unreachable));
+    BOOST_TEST((platform::ending_of(asio::error::eof) == line_socket::ending::closed));
+    BOOST_TEST((platform::ending_of(asio::error::connection_reset) == line_socket::ending::closed));
+}
+
 BOOST_AUTO_TEST_CASE(a_servers_report_is_decoded) {
     const auto status = platform::decode_status("replica 3 3.1209 0 12 2 17");
     BOOST_TEST_REQUIRE(status.has_value());
