The word on others only between proxies that share no service

Cause: every heartbeat told of six others (128 of 231 bytes), also among 7 proxies that all talk to each other, and among users of one service, who do too.

Ruled out: fewer related peers (they judge the same primaries).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -122,6 +122,10 @@
     asio::awaitable<void> register_self();
     asio::awaitable<void> take_proxies(store_rows listed);
     asio::awaitable<void> name_cluster();
+    /// Short, since every message carries it; never 0.
+    [[nodiscard]] static std::uint64_t cluster_id(std::string_view name) noexcept {
+        return stable_hash({name}) % 0xffffffffU + 1;
+    }
     asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
     asio::awaitable<void> replace(std::string service, std::string old, primary_verdict why);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
@@ -129,7 +133,7 @@
     void take_reports(const peer_message& message, time_point counted_from);
     void ask_peers();
     void greet_all();
-    void ask(std::span<const asio::ip::udp::endpoint> targets);
+    void ask(const peers_to_ask& peers);
     void send(const peer_message& message, const asio::ip::udp::endpoint& to);
     [[nodiscard]] peer_message message_now(peer_message::kind what) const;
     void look_after(const std::string& service, watch& at);
@@ -170,10 +174,8 @@
     static constexpr std::chrono::milliseconds unknown_for{1500};
     static constexpr std::chrono::milliseconds catch_up_limit{500};
     static constexpr std::size_t sampled_peers = 12;
-    /// Of these, proxies that have no service in common with this one. Three
-    /// questions and as many from others, twice a second, each with the word on
-    /// `passed_on` others: each of 64 proxies is heard of once a second.
-    static constexpr std::size_t sampled_others = 3;
+    /// A message tells when so many others were last alive: with six exchanges
+    /// a second each of 64 proxies is heard of about once a second.
     static constexpr std::size_t passed_on = 6;
     /// Answers to older questions are too old to be of use.
     static constexpr std::size_t remembered_questions = 16;
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -36,7 +36,7 @@
 asio::awaitable<void> control<Store, Orders, Connector>::take_proxies(store_rows listed) {
     for (const auto& row : listed.rows) {
         if (row.key == cluster_key) {
-            m_cluster = stable_hash({row.value});
+            m_cluster = cluster_id(row.value);
             continue;
         }
         tcp::endpoint where;
@@ -59,12 +59,12 @@
     const auto mine = m_settings.name + "/" + std::to_string(m_settings.incarnation);
     const auto written = co_await m_store.write_if(table, key, mine, 0);
     if (written) {
-        m_cluster = stable_hash({mine});
+        m_cluster = cluster_id(mine);
         co_return;
     }
     const auto row = co_await m_store.read(table, key);
     if (row && row->version != 0) {
-        m_cluster = stable_hash({row->value});
+        m_cluster = cluster_id(row->value);
         co_return;
     }
     // Without an id all messages count, as they do from proxies that have none.
@@ -75,11 +75,11 @@
 /// happens to be asked: whose connections count has to be the same for all.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::greet_all() {
-    std::vector<asio::ip::udp::endpoint> targets;
+    peers_to_ask all;
     for (const auto& [name, item] : m_members.peers()) {
-        targets.push_back(item.address);
+        all.related.push_back(item.address);
     }
-    ask(targets);
+    ask(all);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -139,26 +139,32 @@
     }
     // With many proxies each asks a few, so that the work of one does not grow
     // with their number.
-    const auto targets = m_members.to_ask(used, sampled_peers, sampled_others, m_random);
-    ask(targets.empty() ? m_settings.seeds : targets);
+    auto peers = m_members.to_ask(used, m_settings.data_center, sampled_peers, m_random);
+    if (peers.related.empty() && peers.others.empty()) {
+        peers.related = m_settings.seeds;
+    }
+    ask(peers);
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-void control<Store, Orders, Connector>::ask(std::span<const asio::ip::udp::endpoint> targets) {
+void control<Store, Orders, Connector>::ask(const peers_to_ask& peers) {
     const auto now = boot_clock::now();
     m_last_heartbeat = now;
     auto message = message_now(peer_message::kind::question);
-    message.heard = m_members.some_alive(passed_on, now, m_random);
     message.nonce = ++m_last_nonce;
     m_questions[message.nonce] = {now};
     while (m_questions.size() > remembered_questions) {
         m_questions.erase(m_questions.begin());
     }
-    for (const auto& to : targets) {
+    for (const auto& to : peers.related) {
         if (to != m_settings.heartbeats) {
             send(message, to);
         }
     }
+    message.heard = m_members.some_alive(passed_on, now, m_random);
+    for (const auto& to : peers.others) {
+        send(message, to);
+    }
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -209,7 +215,9 @@
     }
     if (message.what == peer_message::kind::question) {
         auto answer = message_now(peer_message::kind::answer);
-        answer.heard = m_members.some_alive(passed_on, now, m_random);
+        if (!message.heard.empty()) {
+            answer.heard = m_members.some_alive(passed_on, now, m_random);
+        }
         answer.nonce = message.nonce;
         if (!m_leaving) {
             send(answer, from);
--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -36,6 +36,13 @@
     boot_clock::time_point reported_at{};
 };
 
+/// Whom a proxy asks at a time.
+struct peers_to_ask {
+    std::vector<asio::ip::udp::endpoint> related;
+    /// With these it also exchanges the word on others.
+    std::vector<asio::ip::udp::endpoint> others;
+};
+
 /// The other proxies by name. A proxy is known from its row in the store, or
 /// from its own heartbeat, whichever comes first.
 class membership {
@@ -79,36 +86,38 @@
         return out;
     }
 
-    /// The proxies to ask now: those that use one of `services` too, since they
-    /// see the same primaries, and `others` of the rest. Together not more than
-    /// `most`. One of the rest is the one that was silent for longest, so that
-    /// none is taken for gone that only nobody has talked to.
+    /// The proxies to ask now: all while they are `most` or fewer. Otherwise
+    /// those that use one of `services` too, since they see the same primaries,
+    /// and some of the rest to exchange the word on others with: the one that
+    /// was silent for longest, so that none is taken for gone that only nobody
+    /// has talked to, one of the same data centre, and one more.
     template <typename Random>
-    [[nodiscard]] std::vector<asio::ip::udp::endpoint> to_ask(const std::set<std::string, std::less<>>& services,
-                                                              std::size_t most, std::size_t others,
-                                                              Random& random) const {
-        std::vector<asio::ip::udp::endpoint> related;
-        std::vector<asio::ip::udp::endpoint> rest;
-        auto longest_silent = time_point::max();
+    [[nodiscard]] peers_to_ask to_ask(const std::set<std::string, std::less<>>& services, std::string_view data_center,
+                                      std::size_t most, Random& random) const {
+        peers_to_ask out;
+        std::vector<const peer*> rest;
         for (const auto& [name, item] : m_peers) {
             const bool shares = std::ranges::any_of(
                 item.primaries, [&](const primary_report& report) { return services.contains(report.service); });
-            (shares ? related : rest).push_back(item.address);
-            if (!shares && item.alive_at < longest_silent) {
-                longest_silent = item.alive_at;
-                std::swap(rest.front(), rest.back());
+            if (shares || m_peers.size() <= most) {
+                out.related.push_back(item.address);
+            } else {
+                rest.push_back(&item);
             }
         }
-        std::ranges::shuffle(related, random);
-        if (!rest.empty()) {
-            std::shuffle(rest.begin() + 1, rest.end(), random);
-        }
-        if (m_peers.size() > most) {
-            related.resize(std::min(related.size(), most - others));
-            rest.resize(std::min(rest.size(), others));
-        }
-        related.insert(related.end(), rest.begin(), rest.end());
-        return related;
+        std::ranges::shuffle(out.related, random);
+        std::ranges::shuffle(rest, random);
+        out.related.resize(std::min(out.related.size(), most));
+        const auto take = [&](auto found) {
+            if (found != rest.end()) {
+                out.others.push_back((*found)->address);
+                rest.erase(found);
+            }
+        };
+        take(std::ranges::min_element(rest, {}, &peer::alive_at));
+        take(std::ranges::find(rest, data_center, &peer::data_center));
+        take(rest.begin());
+        return out;
     }
 
     /// The proxy leaves by plan.
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -222,18 +222,26 @@
     for (int i = 0; i < 40; ++i) {
         peer_message message{.sender = "p" + std::to_string(i), .incarnation = 1};
         message.primaries.push_back({.service = i < 4 ? "stock" : "other", .primary = "p"});
+        message.data_center = i == 30 ? "here" : "there";
         members.hear(message, {asio::ip::make_address("10.0.0.1"), static_cast<std::uint16_t>(7000 + i)}, start, start);
     }
+    const asio::ip::udp::endpoint near{asio::ip::make_address("10.0.0.1"), 7030};
     const asio::ip::udp::endpoint silent{asio::ip::make_address("10.0.0.1"), 7020};
     for (int i = 0; i < 40; ++i) {
         if (i != 20) {
             members.hear_of({"p" + std::to_string(i), 0ms}, start + 500ms);
         }
     }
-    const auto asked = members.to_ask({"stock"}, 12, 3, random);
-    BOOST_TEST(std::ranges::count(asked, silent) == 1);
-    BOOST_TEST(asked.size() == 7U);
-    BOOST_TEST(std::ranges::count_if(asked, [](const auto& item) { return item.port() < 7004; }) == 4);
+    const auto asked = members.to_ask({"stock"}, "here", 12, random);
+    BOOST_TEST(std::ranges::count(asked.others, silent) == 1);
+    BOOST_TEST(asked.related.size() == 4U);
+    BOOST_TEST(std::ranges::all_of(asked.related, [](const auto& item) { return item.port() < 7004; }));
+    BOOST_TEST(asked.others.size() == 3U);
+    BOOST_TEST(std::ranges::count(asked.others, near) == 1);
+    // Few enough to ask all of them: none has to speak for another.
+    const auto all = members.to_ask({"stock"}, "here", 40, random);
+    BOOST_TEST(all.related.size() == 40U);
+    BOOST_TEST(all.others.empty());
     BOOST_TEST(members.some_alive(6, start + 1s, random).size() == 6U);
     BOOST_TEST(members.some_alive(6, start + 4s, random).empty());
 }
