Read again: one accept loop in the emulator, one search for a known entry, the pace asked once

The emulator's gateway, servers and store each had the same accept loop; read_floor searched for the first sample whose entry is known in two places; a follower that rests asked for its pace twice a step, each time sorting the names of all proxies that are alive.

--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -72,8 +72,8 @@
     /// turn to wait for changes.
     asio::awaitable<void> rest() {
         const auto begun = boot_clock::now();
-        while (!m_pace().waits) {
-            if (boot_clock::now() - begun >= m_pace().span) {
+        for (auto pace = m_pace(); !pace.waits; pace = m_pace()) {
+            if (boot_clock::now() - begun >= pace.span) {
                 m_whole = false;
                 co_return;
             }
--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -62,6 +62,11 @@
     return in_present_term(sample.position) && m_first_entry && sample.position.number >= *m_first_entry;
 }
 
+std::deque<freshness_sample>::const_iterator read_floor::first_known(std::size_t first) const {
+    return std::find_if(m_samples.begin() + static_cast<std::ptrdiff_t>(first), m_samples.end(),
+                        [&](const auto& sample) { return entry_known(sample); });
+}
+
 /// A commit of an older term that the present primary did not have when it was
 /// promoted. Nobody is owed it, and no log will hold it.
 bool read_floor::rolled_back(const sql::log_position& at) const {
@@ -80,16 +85,17 @@
     if (entry_known(first)) {
         return first.position;
     }
-    const std::ranges::subrange recent{m_samples.begin() + static_cast<std::ptrdiff_t>(oldest), m_samples.end()};
-    const auto known = std::ranges::find_if(recent, [&](const auto& sample) { return entry_known(sample); });
-    const bool settled = known != recent.end() && known->asked_at <= now - replicas_apply_within;
+    const auto known = first_known(oldest);
+    const bool settled = known != m_samples.end() && known->asked_at <= now - replicas_apply_within;
     if (!settled && !in_present_term(first.position) && !rolled_back(first.position)) {
         return first.position;
     }
-    if (known != recent.end()) {
+    if (known != m_samples.end()) {
         return known->position;
     }
-    return std::ranges::find_if(recent, [&](const auto& sample) { return in_present_term(sample.position); })->position;
+    const auto begin = m_samples.begin() + static_cast<std::ptrdiff_t>(oldest);
+    return std::find_if(begin, m_samples.end(), [&](const auto& sample) { return in_present_term(sample.position); })
+        ->position;
 }
 
 std::optional<sql::log_position> read_floor::floor(time_point now, std::chrono::milliseconds max_staleness,
@@ -109,7 +115,7 @@
     }
     // The session's last commit is gone; one before it may have been kept, and
     // an older term's sample does not tell. Any entry of the present term does.
-    const auto known = std::ranges::find_if(m_samples, [&](const auto& sample) { return entry_known(sample); });
+    const auto known = first_known(0);
     return known == m_samples.end() ? std::nullopt : std::optional{known->position};
 }
 
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -41,6 +41,8 @@
 private:
     [[nodiscard]] bool in_present_term(const sql::log_position& at) const;
     [[nodiscard]] bool entry_known(const freshness_sample& sample) const;
+    /// The first of the samples from `first` on whose entry is known.
+    [[nodiscard]] std::deque<freshness_sample>::const_iterator first_known(std::size_t first) const;
     [[nodiscard]] bool rolled_back(const sql::log_position& at) const;
     [[nodiscard]] sql::log_position weakest_sufficient(std::size_t oldest, time_point now) const;
 
--- a/tests/emulator/gateway.cpp
+++ b/tests/emulator/gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "accepting.hpp"
 #include "platform/status_server.hpp"
 
 namespace cornellever::emulator {
@@ -40,7 +41,10 @@
         if (auto bound = platform::listen_on(m_acceptor, m_listen); !bound) {
             throw std::runtime_error{bound.error().message};
         }
-        asio::co_spawn(m_io, accept(), asio::detached);
+        const auto take = [this](tcp::socket socket) {
+            asio::co_spawn(m_io, carry(std::make_shared<pipe>(m_io, std::move(socket), ++m_last)), asio::detached);
+        };
+        asio::co_spawn(m_io, accept_each(m_acceptor, take), asio::detached);
     }
 }
 
@@ -74,16 +78,6 @@
            });
 }
 
-asio::awaitable<void> gateway::accept() {
-    while (m_acceptor.is_open()) {
-        boost::system::error_code ec;
-        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec) {
-            asio::co_spawn(m_io, carry(std::make_shared<pipe>(m_io, std::move(socket), ++m_last)), asio::detached);
-        }
-    }
-}
-
 asio::awaitable<void> gateway::carry(std::shared_ptr<pipe> through) {
     m_pipes.insert(through);
     boost::system::error_code ec;
--- a/tests/emulator/gateway.hpp
+++ b/tests/emulator/gateway.hpp
@@ -46,7 +46,6 @@
 private:
     struct pipe;
 
-    asio::awaitable<void> accept();
     asio::awaitable<void> carry(std::shared_ptr<pipe> through);
     asio::awaitable<void> pump(std::shared_ptr<pipe> through, bool back);
     asio::awaitable<void> drop_far_end(std::shared_ptr<pipe> through);
--- a/tests/emulator/metadata_store.cpp
+++ b/tests/emulator/metadata_store.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core.hpp>
 
+#include "accepting.hpp"
 #include "cornellever/rpc/envelope.hpp"
 #include "cornellever/rpc/fields.hpp"
 #include "platform/base64.hpp"
@@ -55,7 +56,8 @@
     if (auto bound = platform::listen_on(m_acceptor, listen); !bound) {
         throw std::runtime_error{bound.error().message};
     }
-    asio::co_spawn(io, accept(), asio::detached);
+    const auto take = [this](tcp::socket socket) { asio::co_spawn(m_io, serve(std::move(socket)), asio::detached); };
+    asio::co_spawn(io, accept_each(m_acceptor, take), asio::detached);
 }
 
 void metadata_store::write(const std::string& table, const std::string& key, std::optional<std::string> value) {
@@ -80,16 +82,6 @@
     write(table, key, std::nullopt);
 }
 
-asio::awaitable<void> metadata_store::accept() {
-    for (;;) {
-        boost::system::error_code ec;
-        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec) {
-            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
-        }
-    }
-}
-
 asio::awaitable<void> metadata_store::serve(tcp::socket socket) {
     boost::beast::tcp_stream stream{std::move(socket)};
     boost::beast::flat_buffer buffer;
--- a/tests/emulator/metadata_store.hpp
+++ b/tests/emulator/metadata_store.hpp
@@ -59,7 +59,6 @@
     using answer = http::response<http::string_body>;
     using question = http::request<http::string_body>;
 
-    asio::awaitable<void> accept();
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<std::optional<answer>> handle(const question& asked);
     asio::awaitable<std::optional<answer>> transact(const question& asked);
--- a/tests/emulator/replicated_service.cpp
+++ b/tests/emulator/replicated_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "accepting.hpp"
 #include "cornellever/rpc/envelope.hpp"
 #include "platform/statement_codec.hpp"
 #include "platform/status_server.hpp"
@@ -76,7 +77,8 @@
     if (auto bound = platform::listen_on(m_acceptor, behind(m_gateway.address())); !bound) {
         throw std::runtime_error{bound.error().message};
     }
-    asio::co_spawn(m_io, accept(), asio::detached);
+    const auto take = [this](tcp::socket socket) { asio::co_spawn(m_io, serve(std::move(socket)), asio::detached); };
+    asio::co_spawn(m_io, accept_each(m_acceptor, take), asio::detached);
     m_gateway.open();
 }
 
@@ -105,16 +107,6 @@
     return rpc::to_text(out);
 }
 
-asio::awaitable<void> emulated_server::accept() {
-    while (m_acceptor.is_open()) {
-        boost::system::error_code ec;
-        auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec) {
-            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
-        }
-    }
-}
-
 asio::awaitable<void> emulated_server::serve(tcp::socket socket) {
     platform::line_socket lines{std::move(socket)};
     session now;
--- a/tests/emulator/replicated_service.hpp
+++ b/tests/emulator/replicated_service.hpp
@@ -58,7 +58,6 @@
     friend class replicated_service;
     struct session;
 
-    asio::awaitable<void> accept();
     asio::awaitable<void> serve(tcp::socket socket);
     std::string answer(session& now, std::string line);
     std::string run_own(session& now, const std::string& text);
