--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days in tests/days (or those named) on a deployment, where the
+# Plays the days in deploy/days (or those named) on a deployment, where the
 # users' kit is at hand, and lists what each broke:
 #   PLAYER=PATH bash scripts/days.sh SITE [DAY...]
 # Exits with 1 when a rule was broken. Four at a time.
@@ -11,7 +11,7 @@
 out=${OUT:-$(mktemp -d)}
 cd "$top"
 days=("$@")
-[ "${#days[@]}" -gt 0 ] || mapfile -t days < <(ls tests/days/*.toml)
+[ "${#days[@]}" -gt 0 ] || mapfile -t days < <(ls deploy/days/*.toml)
 printf '%s\n' "${days[@]}" | xargs -P 4 -I{} bash -c \
   '"$1" run "$2" "$3" --why "own day $(basename "$3" .toml)" >"$4/$(basename "$3" .toml).log" 2>&1 || true' \
   _ "$player" "$site" {} "$out"
