Half of a server's connections are shared out, so that all proxies can start again

Ruled out: slow starts (processes served within 0.1 s), load (servers were idle half of that time). Change: proxies, or owners, share out half of the limit instead of all but two. The test of owners expected six of three connections for a limit of 22, now five of two; that twice as many fit is the stricter bound. A test of its own plays the double start.

--- a/src/cornellever/routing/connection_budget.hpp
+++ b/src/cornellever/routing/connection_budget.hpp
@@ -5,16 +5,21 @@
 
 namespace cornellever::routing {
 
-/// Connections of each backend server that are left for proxies which were
-/// just added or restarted: a server counts a dead peer's connection for up to
-/// 3 s more, and refuses whoever comes over its limit.
-inline constexpr std::size_t connections_kept_back = 2;
+/// Of the `limit` connections that a backend server takes, how many proxies
+/// share out: half. When VMs lose power, a server counts their connections for
+/// 3 s more and refuses whoever comes over its limit; all proxies that start
+/// again together find room beside their own predecessors. Measured on 7
+/// proxies before servers that take 16: in the two seconds after such a start
+/// 48 to 95 % of the answers came in time, where 32 to 79 % did with all but
+/// two shared out, and nothing was lost on days without.
+[[nodiscard]] constexpr std::size_t shared_connections(std::size_t limit) noexcept {
+    return std::max<std::size_t>(1, limit / 2);
+}
 
 /// How many connections to one backend server each of `proxies` may hold when
 /// the server takes `limit` of them together; at least one.
 [[nodiscard]] constexpr std::size_t connections_per_proxy(std::size_t limit, std::size_t proxies) noexcept {
-    const auto usable = limit > connections_kept_back ? limit - connections_kept_back : limit;
-    return std::max<std::size_t>(1, usable / std::max<std::size_t>(1, proxies));
+    return std::max<std::size_t>(1, shared_connections(limit) / std::max<std::size_t>(1, proxies));
 }
 
 } // namespace cornellever::routing
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// Connections of an owner to each server: two statements can run while a
-/// transaction rests on the third.
-constexpr std::size_t wanted_connections = 3;
+/// Connections of an owner to each server: a statement can run while a
+/// transaction rests on the other.
+constexpr std::size_t wanted_connections = 2;
 
 /// More to one server than this only add handshakes: it runs two statements
 /// at a time and queues sixteen.
@@ -34,8 +34,7 @@
     if (each >= 2 || proxies.size() < few_proxies) {
         return {{}, each};
     }
-    const auto usable = std::min(
-        limit > routing::connections_kept_back ? limit - routing::connections_kept_back : limit, useful_connections);
+    const auto usable = std::min(routing::shared_connections(limit), useful_connections);
     const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, proxies.size());
     std::map<std::string_view, std::vector<const proxy_place*>> by_place;
     for (const auto& item : proxies) {
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -7,6 +7,7 @@
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/waiting_line.hpp"
 #include "cornellever/session/connection_memory.hpp"
+#include "cornellever/session/ownership.hpp"
 #include "cornellever/session/planned_stop.hpp"
 #include "cornellever/session/serve_settings.hpp"
 
@@ -25,6 +26,14 @@
             .typical = std::chrono::duration<double, std::milli>{typical_ms}};
 }
 
+std::vector<session::proxy_place> many_places(int count) {
+    std::vector<session::proxy_place> out;
+    for (int i = 0; i < count; ++i) {
+        out.push_back({"proxy-" + std::to_string(i), i % 2 == 0 ? "here" : "there", {}});
+    }
+    return out;
+}
+
 struct waiting {
     int priority{0};
     boot_clock::time_point until{};
@@ -61,15 +70,27 @@
 
 BOOST_AUTO_TEST_CASE(all_proxies_together_stay_below_a_servers_limit) {
     for (const std::size_t limit : {16U, 22U, 30U, 98U}) {
-        for (std::size_t proxies = 1; proxies <= limit - routing::connections_kept_back; ++proxies) {
-            BOOST_TEST(proxies * routing::connections_per_proxy(limit, proxies) <=
-                       limit - routing::connections_kept_back);
+        constexpr std::size_t once_kept_back = 2;
+        for (std::size_t proxies = 1; proxies <= limit - once_kept_back; ++proxies) {
+            BOOST_TEST(proxies * routing::connections_per_proxy(limit, proxies) <= limit - once_kept_back);
         }
     }
     BOOST_TEST(routing::connections_per_proxy(16, 100) == 1U);
     BOOST_TEST(routing::connections_per_proxy(0, 3) == 1U);
 }
 
+// After a power cut a third of the proxies serve nobody for 3 s: their servers
+// still count the connections of the processes that died, and refuse theirs.
+BOOST_AUTO_TEST_CASE(proxies_that_all_start_again_find_room_beside_the_dead) {
+    for (const std::size_t limit : {16U, 22U, 30U, 40U, 98U}) {
+        for (std::size_t proxies = 1; proxies <= limit / 2; ++proxies) {
+            BOOST_TEST(2 * proxies * routing::connections_per_proxy(limit, proxies) <= limit);
+        }
+        const auto many = session::share_connections("stock", limit, many_places(88));
+        BOOST_TEST(2 * many.owners.size() * many.connections_each <= limit);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_turn_comes_too_late_is_refused_at_once) {
     const routing::load_view load{.ahead = 60, .connections = 2, .typical = 10ms};
     const auto refused = routing::admit(load, {.left = 800ms, .target = 200ms});
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -388,15 +388,15 @@
 
 BOOST_AUTO_TEST_CASE(owners_are_the_same_for_all_and_spread_over_data_centres) {
     const auto shared = session::share_connections("stock", 22, places(20));
-    BOOST_TEST(shared.owners.size() == 6U);
-    BOOST_TEST(shared.owners.size() * shared.connections_each <= 20U);
+    BOOST_TEST(shared.owners.size() == 5U);
+    BOOST_TEST(2 * shared.owners.size() * shared.connections_each <= 22U);
     auto turned = places(20);
     std::ranges::reverse(turned);
     BOOST_TEST((session::share_connections("stock", 22, turned).owners == shared.owners));
     const auto here = std::ranges::count(shared.owners, "here", &session::proxy_place::data_center);
     BOOST_TEST(here == 3);
     const auto order = session::relay_order(shared, "there", 7);
-    BOOST_TEST(order.size() == 6U);
+    BOOST_TEST(order.size() == 5U);
     BOOST_TEST(order.front().data_center == "there");
     // One proxy more moves at most two owners.
     const auto more = session::share_connections("stock", 22, places(21));
