A replica's progress is kept: reads pass by those that lack their floor

Cause: a read was sent to each replica that had not refused one within the last 60 ms, and refused there. Ruled out: answers without a position (every one carries it). Change: position and lag of each replica are kept from its answers; one that lags by more than 150 ms is asked for its position by a transaction that runs nothing.

--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -11,6 +11,7 @@
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/routing/backend_link.hpp"
 #include "cornellever/routing/model.hpp"
+#include "cornellever/routing/replica_progress.hpp"
 #include "cornellever/session/connection_memory.hpp"
 
 namespace cornellever::routing {
@@ -75,9 +76,8 @@
     int failed_opens{0};
     typical_time typical;
     std::size_t in_flight{0};
-    /// The log lacked this position at that time.
-    std::optional<sql::log_position> lacked;
-    time_point lacked_at{};
+    /// How far it has applied the log, where it is a replica.
+    replica_progress progress;
     /// The last answer of any kind, and the last sign that nobody answers.
     time_point heard_at{};
     time_point refused_at{};
@@ -106,13 +106,6 @@
 
     /// Whether nobody answered since the last answer.
     [[nodiscard]] bool unreachable() const noexcept { return std::max(refused_at, silent_at) > heard_at; }
-
-    /// A log that lacked a position is asked for it again only after a while:
-    /// an order to a replica that lags by seconds would be refused each time.
-    [[nodiscard]] bool behind(const std::optional<sql::log_position>& floor, time_point now) const {
-        constexpr auto ask_again_after = std::chrono::milliseconds{60};
-        return floor && lacked && *floor >= *lacked && now - lacked_at < ask_again_after;
-    }
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -54,6 +54,16 @@
     }
 }
 
+std::optional<read_floor::time_point> read_floor::reached_at(const sql::log_position& at) const {
+    const auto found = std::ranges::find_if(m_samples, [&](const auto& sample) { return sample.position >= at; });
+    return found == m_samples.end() ? std::nullopt : std::optional{found->asked_at};
+}
+
+std::optional<read_floor::time_point> read_floor::passed_at(const sql::log_position& at) const {
+    const auto found = std::ranges::find_if(m_samples, [&](const auto& sample) { return sample.position > at; });
+    return found == m_samples.end() ? std::nullopt : std::optional{found->asked_at};
+}
+
 bool read_floor::in_present_term(const sql::log_position& at) const {
     return at.term == m_samples.back().position.term;
 }
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -29,6 +29,14 @@
     /// A commit was acknowledged at this position: its entry exists.
     void note_commit(const sql::log_position& at);
 
+    /// When the primary is first known to have been at `at` or further; nothing
+    /// where no sample is. Where all samples are, it may have been there before.
+    [[nodiscard]] std::optional<time_point> reached_at(const sql::log_position& at) const;
+
+    /// When the primary is first known to have been further than `at`; nothing
+    /// where no sample is.
+    [[nodiscard]] std::optional<time_point> passed_at(const sql::log_position& at) const;
+
     /// The position that a log needs for a read at `now` that may lack only
     /// commits acknowledged within `max_staleness`, and the session's own last
     /// commit. Nothing when no sample is recent enough to tell.
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -142,9 +142,11 @@
         }
     }
 
-    void note_behind(entry& from, const std::optional<sql::log_position>& floor) {
-        from.lacked = floor;
-        from.lacked_at = boot_clock::now();
+    /// An answer of a server named this as its position.
+    void note_position(entry& from, const std::optional<sql::log_position>& position) {
+        if (position && from.server.id != m_primary) {
+            from.progress.note(*position, boot_clock::now(), m_floor);
+        }
     }
 
     /// A server refused as not being the primary: another one is looked for.
@@ -267,6 +269,8 @@
     void seek();
     asio::awaitable<void> seek_primary();
     void arm_idle(entry& at);
+    void watch_progress(entry& at, time_point now);
+    asio::awaitable<void> ask_position(slot& held);
 
     /// Deadline of statements that take no slot at a server: several round
     /// trips (3 ms) and a good part of what a slow VM needs.
@@ -278,6 +282,11 @@
     /// asked for: a read may be 1.5 s old, and a lost primary has to be noticed.
     static constexpr std::chrono::milliseconds refresh_after{200};
     static constexpr std::chrono::milliseconds seek_period{40};
+    /// A replica that is further behind than this is asked how far it is, so
+    /// that reads return to it without one of them being refused first. Replicas
+    /// apply a commit within 50 ms on average.
+    static constexpr std::chrono::milliseconds ordinary_lag{150};
+    static constexpr std::chrono::milliseconds progress_period{100};
     /// The registry is told 7 s before a server leaves; new work stops well
     /// before, and only the primary gets any at all.
     static constexpr std::chrono::milliseconds leaving_primary_use{5500};
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -91,7 +91,7 @@
     if (std::ranges::find(want.avoid, at.server.id) != want.avoid.end()) {
         return false;
     }
-    return primary || !at.behind(want.floor, now);
+    return primary || !want.floor || !at.progress.lacks(*want.floor, now, m_floor);
 }
 
 template <link_connector Connector>
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -242,6 +242,7 @@
         if (at->held() == 0 && now >= at->open_after && !at->draining_since) {
             open_one(*at);
         }
+        watch_progress(*at, now);
     }
     if (m_primary.empty()) {
         seek();
@@ -259,6 +260,36 @@
     }
 }
 
+template <link_connector Connector>
+void service_pool<Connector>::watch_progress(entry& at, time_point now) {
+    if (at.server.id == m_primary || at.progress.lag() < ordinary_lag ||
+        now - at.progress.seen_at() < progress_period) {
+        return;
+    }
+    if (auto* idle = at.any_idle(); idle != nullptr) {
+        idle->busy = true;
+        asio::co_spawn(m_executor, ask_position(*idle), asio::detached);
+    }
+}
+
+/// Asks a replica for its position on a connection that the caller marked
+/// busy, by a transaction that runs nothing: it takes no slot there.
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::ask_position(slot& held) {
+    std::vector<sql::command> batch;
+    batch.push_back(sql::own(sql::statement_kind::begin_read_only));
+    batch.push_back(sql::own(sql::statement_kind::rollback));
+    held.sent_at = boot_clock::now();
+    auto answer = co_await held.connection->exchange(std::move(batch), 1, held.sent_at + control_limit);
+    if (answer) {
+        heard(*held.home, std::nullopt);
+        note_position(*held.home, answer->position);
+    } else {
+        note_failure(*held.home, answer.error());
+    }
+    make_idle(held);
+}
+
 template <link_connector Connector>
 primary_sight service_pool<Connector>::sight() const {
     primary_sight out;
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -180,6 +180,7 @@
         co_return got;
     }
     backends.heard(at, boot_clock::now() - held->sent_at);
+    backends.note_position(at, got->position);
     co_return got;
 }
 
@@ -242,7 +243,6 @@
                      why == sql::refusal::behind ? describe_lag(want.floor, *got) : std::string{sql::to_string(why)});
         switch (why) {
         case sql::refusal::behind:
-            backends.note_behind(at, want.floor);
             want.avoid.push_back(id);
             break;
         case sql::refusal::not_primary:
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -19,9 +19,7 @@
         co_return false;
     }
     backends.heard(at, std::nullopt);
-    if (!answer->ok() && answer->why() == sql::refusal::behind) {
-        backends.note_behind(at, floor);
-    }
+    backends.note_position(at, answer->position);
     co_return answer->ok();
 }
 
--- a/tests/unit/rebirth.cpp
+++ b/tests/unit/rebirth.cpp
@@ -95,13 +95,16 @@
     proxy.host.update(as_begun());
     auto& pool = proxy.host.pool_for("stock");
     auto& before = *pool.entries().at("r1");
-    pool.note_behind(before, sql::log_position{1, 10});
+    pool.add_sample({boot_clock::now() - 2s, {1, 8}});
+    pool.add_sample({boot_clock::now() - 1s, {1, 10}});
+    pool.note_position(before, sql::log_position{1, 8});
+    BOOST_TEST(before.progress.lacks({1, 10}, boot_clock::now() - 1ms, pool.floor()));
     pool.note_failure(before, routing::link_failure::silent);
     BOOST_TEST(before.unreachable());
     proxy.host.update(reborn("r1", 3, 2000));
     auto& after = *pool.entries().at("r1");
     BOOST_TEST(!after.unreachable());
-    BOOST_TEST(!after.behind(sql::log_position{1, 10}, boot_clock::now()));
+    BOOST_TEST(!after.progress.lacks({1, 10}, boot_clock::now(), pool.floor()));
 }
 
 // A grower is shown an empty register: the primary had started again with
