Admission by the real place in the line, statements per server limited, overtaken requests told

Cause: the predicted wait counted connections to replicas that could not take the read, and all waiting requests of the priority instead of those that go first; with two or three statements of each owner under way a server of 3 slots had 24 to run, a statement of 14 ms took 81 ms and requests aiming at 120 ms were refused while the server ran others. Change: lanes and lines by the servers that could run a request now (turn_outlook), statements at a time per server and proxy (2 * slots / proxies, at least one), who is overtaken so that its turn comes too late is refused then.

--- a/src/cornellever/routing/admission.cpp
+++ b/src/cornellever/routing/admission.cpp
@@ -16,8 +16,9 @@
 /// A promotion takes 1.2 s from the order; half of it on average.
 constexpr std::chrono::milliseconds without_primary_retry{300};
 
-/// Kept for running the statement, in times that the usual one takes.
-constexpr double room_to_run = 2.0;
+/// Kept for running the statement, in times that the usual one takes: three
+/// of four take no longer. What servers' own queues add is in the usual time.
+constexpr double room_to_run = 1.5;
 
 std::chrono::milliseconds in_ms(std::chrono::duration<double, std::milli> span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
@@ -30,13 +31,17 @@
 
 } // namespace
 
+std::chrono::milliseconds patience(const load_view& load, const time_limits& limits) {
+    return std::min(limits.left, limits.target) - in_ms(load.typical * room_to_run);
+}
+
 admission_decision admit(const load_view& load, const time_limits& limits) {
     const auto expected = expected_wait(load);
-    const auto patience = std::min(limits.left, limits.target) - in_ms(load.typical * room_to_run);
-    if (patience.count() <= 0 || expected > patience) {
+    const auto longest = patience(load, limits);
+    if (longest.count() <= 0 || expected > longest) {
         return {.retry_after = std::max(shortest_retry, expected)};
     }
-    return {.admitted = true, .wait = patience, .retry_after = std::max(shortest_retry, expected)};
+    return {.admitted = true, .wait = longest, .retry_after = std::max(shortest_retry, expected)};
 }
 
 admission_decision admit_without_primary(const time_limits& limits) {
--- a/src/cornellever/routing/admission.hpp
+++ b/src/cornellever/routing/admission.hpp
@@ -10,9 +10,9 @@
 struct load_view {
     /// Requests that will be served before it.
     std::size_t ahead{0};
-    /// Connections that could serve it.
+    /// Statements that this proxy runs at a time at servers that could serve it.
     std::size_t connections{0};
-    /// How long a connection is taken for one statement.
+    /// How long one statement takes there.
     std::chrono::duration<double, std::milli> typical{10.0};
 };
 
@@ -31,6 +31,10 @@
     std::chrono::milliseconds retry_after{0};
 };
 
+/// How long a request may wait for its turn and still be answered within the
+/// latency that its caller aims at; not positive when it can't be.
+[[nodiscard]] std::chrono::milliseconds patience(const load_view& load, const time_limits& limits);
+
 /// Decides for a request while servers work. Under more load than they can
 /// take, a long line makes every answer late: requests are admitted as long as
 /// their turn is likely to come within the latency that their callers aim at,
--- a/src/cornellever/routing/connection_budget.hpp
+++ b/src/cornellever/routing/connection_budget.hpp
@@ -22,4 +22,14 @@
     return std::max<std::size_t>(1, shared_connections(limit) / std::max<std::size_t>(1, proxies));
 }
 
+/// How many statements each of `proxies` runs at a time at a server that runs
+/// `slots`; at least one. Together they send twice what the server runs, so
+/// that a slot is never free for want of a statement under way. What is sent
+/// beyond that waits at the server, in no order and with nobody refused: with
+/// three connections each of 8 proxies in use before 3 slots, a statement of
+/// 14 ms took 81 ms, and a request that aims at 120 ms could not be admitted.
+[[nodiscard]] constexpr std::size_t statements_per_proxy(std::size_t slots, std::size_t proxies) noexcept {
+    return std::max<std::size_t>(1, 2 * slots / std::max<std::size_t>(1, proxies));
+}
+
 } // namespace cornellever::routing
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -27,6 +27,8 @@
     session::connection_memory memory;
     /// In use by a request, or by the pool's own housekeeping.
     bool busy{false};
+    /// Held by a transaction whose caller is between two statements.
+    bool resting{false};
     /// A transaction that the server accepted as its primary is open and
     /// unused. A read in it is refused once the server has lost the lead, so
     /// it needs no other proof of freshness.
@@ -104,6 +106,12 @@
         return static_cast<std::size_t>(std::ranges::count_if(slots, [](const auto& item) { return !item->busy; }));
     }
 
+    /// Connections in use, but for those that rest in a transaction.
+    [[nodiscard]] std::size_t working() const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(slots, [](const auto& item) { return item->busy && !item->resting; }));
+    }
+
     /// Whether nobody answered since the last answer.
     [[nodiscard]] bool unreachable() const noexcept { return std::max(refused_at, silent_at) > heard_at; }
 };
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -4,20 +4,24 @@
 #include <chrono>
 #include <expected>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/connection_budget.hpp"
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/pool_entry.hpp"
 #include "cornellever/routing/read_floor.hpp"
+#include "cornellever/routing/turn_outlook.hpp"
 #include "cornellever/routing/waiting_line.hpp"
 #include "cornellever/sql/reply.hpp"
 
@@ -106,8 +110,12 @@
     service_pool(const service_pool&) = delete;
     service_pool& operator=(const service_pool&) = delete;
 
-    /// Connections to each server that this proxy may hold.
-    void set_budget(std::size_t connections) { m_budget = connections; }
+    /// Connections to each server that this proxy may hold, and how many
+    /// proxies use the same servers.
+    void set_budget(std::size_t connections, std::size_t proxies) {
+        m_budget = connections;
+        m_proxies = proxies;
+    }
 
     /// A configuration came into force. A transaction that was opened before
     /// counts as routed by the older one, so that no statement which the newer
@@ -186,7 +194,6 @@
     [[nodiscard]] const read_floor& floor() const noexcept { return m_floor; }
     [[nodiscard]] const std::string& primary() const noexcept { return m_primary; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_line.size(); }
-    [[nodiscard]] std::size_t waiting_ahead(int priority) const { return m_line.ahead_of(priority); }
     [[nodiscard]] const std::map<std::string, std::unique_ptr<entry>, std::less<>>& entries() const noexcept {
         return m_entries;
     }
@@ -194,12 +201,13 @@
     /// What this proxy sees of the primary, for its peers.
     [[nodiscard]] primary_sight sight() const;
 
-    /// Connections that are being used or could be, and their time per
-    /// statement: what a waiting request has before it.
-    [[nodiscard]] std::size_t connections(bool primary_only) const;
+    /// What a request finds that would wait as long as `limits` allow: servers
+    /// that could run it now, and how many stand before it in the line.
+    [[nodiscard]] load_view outlook(const connection_want& want, const time_limits& limits) const;
 
-    /// How long a statement takes at the primary, or at the servers on average.
-    [[nodiscard]] std::chrono::duration<double, std::milli> typical(bool primary_only) const;
+    /// A transaction holds a connection without a statement on it: another
+    /// request may use its share of the server.
+    void rest(slot& held);
 
     /// Whether any request has asked for a connection yet.
     [[nodiscard]] bool used() const noexcept { return m_used; }
@@ -241,6 +249,8 @@
         time_point until{};
         asio::steady_timer timer;
         slot* granted{nullptr};
+        /// Its turn will come too late: others went before it meanwhile.
+        bool out_of_time{false};
     };
 
     std::set<std::string, std::less<>> retire_all_but(const std::vector<const backend_server*>& servers);
@@ -249,6 +259,15 @@
     [[nodiscard]] slot* grab(const connection_want& want);
     [[nodiscard]] slot* best_idle(entry& at, const connection_want& want) const;
     void grow(const connection_want& want);
+    [[nodiscard]] std::size_t statements_at_once(const entry& at) const {
+        return statements_per_proxy(at.server.slots, m_proxies);
+    }
+    [[nodiscard]] server_set servers_for(const connection_want& want, time_point now) const;
+    [[nodiscard]] std::vector<lane_view> lanes(time_point now) const;
+    [[nodiscard]] std::vector<waiting_view> line_view(time_point now) const;
+    void turn_away_overtaken(const waiter& by);
+    void grant(waiter& next, slot& held);
+    void offer(entry& at);
     [[nodiscard]] bool may_open(const entry& at, time_point now) const {
         return now >= at.open_after && at.held() < m_budget;
     }
@@ -296,6 +315,7 @@
     std::string m_service;
     std::string m_data_center;
     std::size_t m_budget{1};
+    std::size_t m_proxies{1};
     std::map<std::string, std::unique_ptr<entry>, std::less<>> m_entries;
     std::vector<std::unique_ptr<entry>> m_leaving;
     waiting_line<waiter> m_line;
@@ -320,4 +340,5 @@
 } // namespace cornellever::routing
 
 #include "cornellever/routing/service_pool.ipp"
+#include "cornellever/routing/service_pool_line.ipp"
 #include "cornellever/routing/service_pool_primary.ipp"
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -120,7 +120,7 @@
     std::vector<entry*> at;
     bool replica_could = false;
     for (auto& [id, item] : m_entries) {
-        if (!suits(want, *item, now)) {
+        if (!suits(want, *item, now) || item->working() >= statements_at_once(*item)) {
             continue;
         }
         const bool primary = id == m_primary;
@@ -162,30 +162,6 @@
     }
 }
 
-template <link_connector Connector>
-asio::awaitable<typename service_pool<Connector>::lease> service_pool<Connector>::acquire(connection_want want) {
-    m_used = true;
-    if (auto* found = grab(want); found != nullptr) {
-        co_return lease{*this, *found};
-    }
-    grow(want);
-    if (want.primary && m_primary.empty()) {
-        seek();
-    }
-    waiter self{want, want.priority, want.until, asio::steady_timer{m_executor}};
-    m_line.join(self);
-    while (self.granted == nullptr && boot_clock::now() < want.until) {
-        self.timer.expires_after(want.until - boot_clock::now());
-        boost::system::error_code ignored;
-        co_await self.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    if (self.granted == nullptr) {
-        m_line.leave(self);
-        co_return lease{};
-    }
-    co_return lease{*this, *self.granted};
-}
-
 template <link_connector Connector>
 void service_pool<Connector>::open_one(entry& at) {
     ++at.opening;
@@ -237,12 +213,14 @@
 
 template <link_connector Connector>
 void service_pool<Connector>::take_back(slot& held) {
+    held.resting = false;
     if (!held.connection->usable()) {
         auto& at = *held.home;
         destroy(held);
         if (!m_line.empty() && !at.gone && may_open(at, boot_clock::now())) {
             open_one(at);
         }
+        offer(at);
         forget_if_empty(at);
         return;
     }
@@ -260,6 +238,7 @@
         log_event(event::connection_broken, "service=" + m_service + " server=" + at.server.id +
                                                 " while=settling reason=" + std::string{to_string(last.error())});
         destroy(held);
+        offer(at);
         forget_if_empty(at);
         co_return;
     }
@@ -277,17 +256,12 @@
     auto& at = *held.home;
     if (at.gone || !held.connection->usable() || at.slots.size() > m_budget) {
         destroy(held);
+        offer(at);
         forget_if_empty(at);
         return;
     }
-    const auto now = boot_clock::now();
-    auto* next = m_line.take_first([&](const waiter& item) { return suits(item.want, at, now); });
-    if (next != nullptr) {
-        next->granted = &held;
-        next->timer.cancel();
-        return;
-    }
     held.busy = false;
+    offer(at);
 }
 
 template <link_connector Connector>
@@ -303,27 +277,4 @@
     }
 }
 
-template <link_connector Connector>
-std::chrono::duration<double, std::milli> service_pool<Connector>::typical(bool primary_only) const {
-    const auto now = boot_clock::now();
-    double sum = 0.0;
-    double count = 0.0;
-    for (const auto& [id, at] : m_entries) {
-        if ((!primary_only || id == m_primary) && !at->slots.empty()) {
-            sum += at->typical.value(now);
-            count += 1.0;
-        }
-    }
-    return std::chrono::duration<double, std::milli>{count == 0.0 ? 0.0 : sum / count};
-}
-
-template <link_connector Connector>
-std::size_t service_pool<Connector>::connections(bool primary_only) const {
-    std::size_t count = 0;
-    for (const auto& [id, at] : m_entries) {
-        count += !primary_only || id == m_primary ? at->slots.size() : 0;
-    }
-    return count;
-}
-
 } // namespace cornellever::routing
--- a/src/cornellever/routing/waiting_line.hpp
+++ b/src/cornellever/routing/waiting_line.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <list>
 
 #include "cornellever/core/boot_clock.hpp"
@@ -37,13 +39,15 @@
         return nullptr;
     }
 
-    /// How many items would be served before one of this priority.
-    [[nodiscard]] std::size_t ahead_of(int priority) const {
-        std::size_t count = 0;
-        for (const auto* item : m_items) {
-            count += item->priority <= priority ? 1 : 0;
-        }
-        return count;
+    /// The items in the order in which they will be served.
+    [[nodiscard]] const std::list<T*>& items() const noexcept { return m_items; }
+
+    /// How many items would be served before one of this priority and time.
+    [[nodiscard]] std::size_t place_of(int priority, boot_clock::time_point until) const {
+        const auto behind = std::ranges::find_if(m_items, [&](const auto* item) {
+            return item->priority != priority ? priority < item->priority : until < item->until;
+        });
+        return static_cast<std::size_t>(std::distance(m_items.begin(), behind));
     }
 
     [[nodiscard]] std::size_t size() const noexcept { return m_items.size(); }
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -69,10 +69,10 @@
 private:
     enum class verdict { answered, again };
 
-    [[nodiscard]] static routing::load_view load_of(const pool& backends, const statement_run& run, bool primary);
+    [[nodiscard]] static routing::time_limits limits_of(const statement_run& run);
     asio::awaitable<void> await_sample(pool& backends, const statement_run& run, bool needs_primary);
-    [[nodiscard]] std::optional<sql::reply> admit(pool& backends, const statement_run& run, bool primary,
-                                                  time_point& wait_until);
+    [[nodiscard]] std::optional<sql::reply> admit(pool& backends, const statement_run& run,
+                                                  routing::connection_want& want);
     asio::awaitable<lease> connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
                                           sql::reply& refusal);
     asio::awaitable<bool> arm(pool& backends, lease& held, time_point until);
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -44,10 +44,9 @@
 }
 
 template <routing::link_connector Connector>
-routing::load_view statement_engine<Connector>::load_of(const pool& backends, const statement_run& run, bool primary) {
-    return {.ahead = backends.waiting_ahead(run.route.priority),
-            .connections = backends.connections(primary),
-            .typical = backends.typical(primary)};
+routing::time_limits statement_engine<Connector>::limits_of(const statement_run& run) {
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - boot_clock::now()),
+            run.route.target_latency};
 }
 
 /// A proxy that has just started knows no position of the primary. One costs
@@ -67,18 +66,16 @@
 }
 
 template <routing::link_connector Connector>
-std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run, bool primary,
-                                                             time_point& wait_until) {
-    const auto now = boot_clock::now();
-    const routing::time_limits limits{std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - now),
-                                      run.route.target_latency};
-    const auto decision = primary && !backends.primary_answers()
+std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run,
+                                                             routing::connection_want& want) {
+    const auto limits = limits_of(run);
+    const auto decision = want.primary && !backends.primary_answers()
                               ? routing::admit_without_primary(limits)
-                              : routing::admit(load_of(backends, run, primary), limits);
+                              : routing::admit(backends.outlook(want, limits), limits);
     if (!decision.admitted) {
         return refused_for_now("no connection free in time", decision.retry_after);
     }
-    wait_until = now + decision.wait;
+    want.until = boot_clock::now() + decision.wait;
     return std::nullopt;
 }
 
@@ -107,7 +104,7 @@
     const auto asked = boot_clock::now();
     lease held;
     for (;;) {
-        if (auto refused = admit(backends, run, want.primary, want.until)) {
+        if (auto refused = admit(backends, run, want)) {
             refusal = std::move(*refused);
             co_return lease{};
         }
@@ -123,8 +120,8 @@
         refusal = refused_for_now("no connection in time", std::chrono::milliseconds{100});
         co_return lease{};
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.until() - boot_clock::now());
-    if (!routing::worth_starting(load_of(backends, run, want.primary), left)) {
+    const auto limits = limits_of(run);
+    if (!routing::worth_starting(backends.outlook(want, limits), limits.left)) {
         held.release();
         refusal = refused_for_now("too late to run", std::chrono::milliseconds{100});
         co_return lease{};
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -111,6 +111,7 @@
         }
     }
     auto& held = inside.pinned;
+    held->resting = false;
     const bool on_primary = held->armed;
     std::vector<sql::command> batch;
     for (auto& item : plan_replay(run.session, held->memory, run.prepared)) {
@@ -139,6 +140,7 @@
         co_return fail_inside(inside, run, sql::to_string(got->why()));
     }
     log_served(*inside.backends, held, run, inside.floor);
+    inside.backends->rest(*held);
     auto out = *got;
     out.state = sql::transaction_state::open;
     co_return out;
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -26,7 +26,8 @@
     for (auto& [name, backends] : m_pools) {
         const auto& shared = share_of(name);
         // One that was an owner until now still serves the sessions it has.
-        backends->set_budget(shared.owns(m_name) ? shared.connections_each : 1);
+        const auto sharers = shared.owners.empty() ? m_proxies.size() : shared.owners.size();
+        backends->set_budget(shared.owns(m_name) ? shared.connections_each : 1, sharers);
     }
 }
 
