Sessions go round a cut path to the primary

Ruled out: a lost primary (six proxies served from it all the while). Change: a session opened at such a proxy is relayed to a peer that heard the primary at least 300 ms later than this one did; sessions at rest are closed so that they are opened anew; a relayed session is never relayed again; a request that comes all the same is refused at once, since nothing is being promoted.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -130,7 +130,7 @@
     asio::awaitable<void> replace(std::string service, std::string old, primary_verdict why);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
     void compare_versions(const peer_message& message, const asio::ip::udp::endpoint& from, time_point now);
-    void take_reports(const peer_message& message, time_point counted_from);
+    void take_reports(const peer_message& message, const asio::ip::udp::endpoint& from, time_point counted_from);
     void ask_peers();
     void greet_all();
     [[nodiscard]] std::set<std::string, std::less<>>
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -246,7 +246,7 @@
             send(answer, from);
         }
     } else {
-        take_reports(message, counted_from);
+        take_reports(message, from, counted_from);
     }
     compare_versions(message, from, now);
 }
@@ -279,12 +279,16 @@
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-void control<Store, Orders, Connector>::take_reports(const peer_message& message, time_point counted_from) {
+void control<Store, Orders, Connector>::take_reports(const peer_message& message, const asio::ip::udp::endpoint& from,
+                                                     time_point counted_from) {
+    const session::proxy_place peer{message.sender, message.data_center, {from.address(), m_settings.callers.port()}};
     std::vector<peer_sight> seen;
     for (const auto& item : message.primaries) {
         peer_sight sight{.service = item.service,
                          .primary = item.unreachable ? std::string{} : item.primary,
-                         .confirmed_at = counted_from - item.confirmed_age};
+                         .confirmed_at = counted_from - item.confirmed_age,
+                         .peer = peer,
+                         .heard_at = counted_from - item.heard_age};
         if (item.sample) {
             sight.sample = routing::freshness_sample{counted_from - item.sample->age, item.sample->position};
         }
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -30,6 +30,9 @@
     std::string primary;
     boot_clock::time_point confirmed_at;
     std::optional<routing::freshness_sample> sample;
+    /// The peer, and when it last heard that primary.
+    session::proxy_place peer;
+    boot_clock::time_point heard_at;
 };
 
 /// The traffic side as the control side uses it: every call is carried out on
@@ -100,6 +103,9 @@
     static asio::awaitable<Json::Value> run(std::function<Json::Value()> tell) { co_return tell(); }
 
     void take_one(const peer_sight& seen) {
+        if (!seen.primary.empty()) {
+            m_host.note_path(seen.service, seen.peer, seen.heard_at);
+        }
         const auto found = m_host.pools().find(seen.service);
         if (found == m_host.pools().end()) {
             return;
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -52,6 +52,7 @@
     transaction_failed = 1313,
     request_served = 1314,
     answer_overdue = 1315,
+    session_relayed = 1316,
     lines_dropped = 1320,
     backend_write = 1401,
     backend_shipped = 1402,
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -224,6 +224,19 @@
         return found != m_entries.end() && !found->second->unreachable();
     }
 
+    /// Whether the primary has not been heard of for so long although it was
+    /// asked: it is lost, or the path to it is.
+    [[nodiscard]] bool primary_silent_for(std::chrono::milliseconds span) const {
+        const auto found = m_entries.find(m_primary);
+        return found != m_entries.end() && found->second->unreachable() &&
+               boot_clock::now() - found->second->heard_at >= span;
+    }
+
+    /// Whether others reach the primary, which this proxy does not: no other
+    /// one is going to be promoted.
+    void set_path_cut(bool cut) { m_path_cut = cut; }
+    [[nodiscard]] bool path_cut() const noexcept { return m_path_cut; }
+
     /// Has the primary asked for its position soon.
     void want_sample() {
         m_used = true;
@@ -342,6 +355,7 @@
     time_point m_epoch{};
     bool m_seeking{false};
     bool m_used{false};
+    bool m_path_cut{false};
 };
 
 } // namespace cornellever::routing
--- /dev/null
+++ b/src/cornellever/session/primary_paths.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/session/ownership.hpp"
+
+namespace cornellever::session {
+
+/// Which other proxies reach the primaries of services, by their own word. A
+/// proxy whose path to a primary is cut sends its callers' sessions through one
+/// of them: what two of eight proxies could not run, the other six could.
+class primary_paths {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// `through` heard the primary of a service at `heard_at`.
+    void note(const std::string& service, const proxy_place& through, time_point heard_at);
+
+    /// Those that heard it lately, and clearly later than this proxy itself did
+    /// (`heard_here`), in the order in which a session tries them: sessions are
+    /// spread over all of them. Nobody hears a primary that is lost, so that
+    /// none is told of then.
+    [[nodiscard]] std::vector<proxy_place> through(std::string_view service, std::uint64_t session, time_point now,
+                                                   time_point heard_here) const;
+
+private:
+    struct path {
+        proxy_place through;
+        time_point heard_at;
+    };
+
+    /// Heartbeats come every 0.5 s; one may be lost.
+    static constexpr std::chrono::milliseconds fresh_for{1100};
+
+    /// Proxies ask an otherwise idle primary five times a second: one that was
+    /// lost was heard by others no more than that later than here.
+    static constexpr std::chrono::milliseconds later_by{300};
+
+    /// By service and the proxy's name.
+    std::map<std::string, std::map<std::string, path>, std::less<>> m_paths;
+};
+
+} // namespace cornellever::session
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -68,6 +68,11 @@
 template <routing::link_connector Connector>
 std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run,
                                                              routing::connection_want& want) {
+    if (want.primary && backends.path_cut()) {
+        // Nothing here is going to change soon, and the caller's next try may
+        // come to a proxy that reaches it.
+        return refused_for_now("the path to the primary is cut", std::chrono::milliseconds{0});
+    }
     const auto limits = limits_of(run);
     const auto decision = want.primary && !backends.primary_answers()
                               ? routing::admit_without_primary(limits)
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -15,6 +15,7 @@
 #include "cornellever/routing/service_pool.hpp"
 #include "cornellever/session/caller.hpp"
 #include "cornellever/session/ownership.hpp"
+#include "cornellever/session/primary_paths.hpp"
 #include "cornellever/session/relay.hpp"
 #include "cornellever/session/statement_engine.hpp"
 
@@ -58,11 +59,18 @@
     /// none while they are not known yet.
     void set_proxies(std::vector<proxy_place> proxies);
 
-    /// Housekeeping of the pools.
+    /// Another proxy heard the primary of a service at `heard_at`.
+    void note_path(const std::string& service, const proxy_place& through, boot_clock::time_point heard_at) {
+        m_paths.note(service, through, heard_at);
+    }
+
+    /// Housekeeping of the pools and of sessions that are better elsewhere.
     void tick() {
+        watch_paths();
         for (auto& [name, backends] : m_pools) {
             backends->tick();
         }
+        close_misplaced();
     }
 
     /// Serves one caller until its session ends.
@@ -96,11 +104,19 @@
 private:
     using transaction = typename engine::transaction;
 
+    /// Who runs a session's statements.
+    enum class served_by { itself, owner, way_round };
+
     /// One session being served.
     struct conversation {
         session_state state;
         std::optional<transaction> open{};
         session_status status{};
+        /// Of another proxy's caller.
+        bool relayed{false};
+        /// Served by an owner of scarce connections, or by a proxy that reaches
+        /// the primary while this one does not.
+        served_by where{served_by::itself};
         /// Of a relayed session, as the owner said last.
         sql::transaction_state relayed_state{sql::transaction_state::idle};
     };
@@ -113,6 +129,13 @@
     void share_connections_anew();
     using relay_ptr = std::unique_ptr<typename Connector::relay>;
     asio::awaitable<relay_ptr> find_owner(const std::string& database, std::uint64_t session);
+    asio::awaitable<relay_ptr> find_way_round(const std::string& database, std::uint64_t session);
+    asio::awaitable<relay_ptr> open_relay(std::vector<proxy_place> to, std::string database);
+    asio::awaitable<relay_ptr> find_relay(conversation& with);
+    [[nodiscard]] std::vector<proxy_place> ways_round(const std::string& database, std::uint64_t session) const;
+    void watch_paths();
+    [[nodiscard]] bool misplaced(const conversation& with);
+    void close_misplaced();
     asio::awaitable<sql::reply> relay(conversation& with, typename Connector::relay& owner, const sql::request& asked);
     void count(const sql::reply& out, boot_clock::time_point arrival);
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
@@ -135,6 +158,10 @@
     static constexpr std::chrono::milliseconds configuration_limit{1000};
     /// A caller gives up an opening after 2 s.
     static constexpr std::chrono::milliseconds proxies_limit{1000};
+    /// A primary that others hear and this proxy does not, for so long, is cut
+    /// off from it: it is asked five times a second at least, and a connection
+    /// that the network gave up shows in 0.7 s.
+    static constexpr std::chrono::milliseconds cut_after{600};
     /// The owner answers by the statement's timeout itself.
     static constexpr std::chrono::milliseconds owner_slack{300};
 
@@ -145,6 +172,7 @@
     routing::configuration m_config;
     routing::registry m_registry;
     std::vector<proxy_place> m_proxies;
+    primary_paths m_paths;
     /// By service, worked out when first asked for.
     std::map<std::string, ownership, std::less<>> m_shares;
     traffic_counters m_counters;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -136,10 +136,19 @@
     with.status.close_if_quiet = [&caller] { caller.close_if_quiet(); };
     m_sessions.insert(&with);
     ++m_counters.sessions_opened;
+    with.relayed = opening->relayed;
     relay_ptr owner;
     if (!opening->relayed) {
         co_await await_proxies();
-        owner = co_await find_owner(with.state.database, with.state.id);
+        owner = co_await find_relay(with);
+    } else if (!ways_round(opening->database, 0).empty()) {
+        // The proxy that asks has others to try, and knows none of them to be
+        // any better than this one.
+        log_event(event::session_refused, "database=" + opening->database + " reason=path_cut");
+        m_sessions.erase(&with);
+        caller.refuse({sql::refusal::overloaded, "the primary is out of reach"});
+        caller.close();
+        co_return;
     }
     caller.welcome();
     bool answered = false;
@@ -151,7 +160,7 @@
         }
         // Served here although others own the connections: the session began
         // before they were known. Its caller's next one is relayed.
-        const bool moves = answered && !opening->relayed && owner == nullptr && !owns(with.state.database);
+        const bool moves = answered && misplaced(with);
         const bool closing = m_closing_resting || ((m_closing || moves) && answered);
         // A request that has arrived is still answered: the caller could not
         // know that the session was about to end.
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -61,16 +61,100 @@
     if (shared.owns(m_name)) {
         co_return nullptr;
     }
-    for (const auto& owner : relay_order(shared, m_data_center, session)) {
-        auto opened = co_await m_connector.open_relay(owner.callers, database, boot_clock::now() + owner_limit);
+    co_return co_await open_relay(relay_order(shared, m_data_center, session), database);
+}
+
+/// A session at the first of the proxies that takes it.
+template <routing::link_connector Connector>
+asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::open_relay(std::vector<proxy_place> to,
+                                                                                       std::string database) {
+    for (const auto& peer : to) {
+        auto opened = co_await m_connector.open_relay(peer.callers, database, boot_clock::now() + owner_limit);
         if (opened != nullptr) {
             co_return opened;
         }
-        log_event(event::connect_failed, "owner=" + owner.name + " database=" + database + " reason=relay");
+        log_event(event::connect_failed, "owner=" + peer.name + " database=" + database + " reason=relay");
     }
     co_return nullptr;
 }
 
+/// The proxies that reach the primary of a database while this one does not.
+template <routing::link_connector Connector>
+std::vector<proxy_place> traffic<Connector>::ways_round(const std::string& database, std::uint64_t session) const {
+    const auto route = m_config.routes.find(database);
+    const auto found = route == m_config.routes.end() ? m_pools.end() : m_pools.find(route->second.service);
+    if (found == m_pools.end() || !found->second->primary_silent_for(cut_after)) {
+        return {};
+    }
+    return m_paths.through(found->first, session, boot_clock::now(), found->second->sight().heard_at);
+}
+
+/// Tells each pool whether its primary is lost to this proxy alone.
+template <routing::link_connector Connector>
+void traffic<Connector>::watch_paths() {
+    const auto now = boot_clock::now();
+    for (auto& [name, backends] : m_pools) {
+        const bool silent = backends->primary_silent_for(cut_after);
+        backends->set_path_cut(silent && !m_paths.through(name, 0, now, backends->sight().heard_at).empty());
+    }
+}
+
+/// A session at a proxy that reaches the primary; null where this one does, or
+/// none is known to. Two tries at the most: a caller waits meanwhile.
+template <routing::link_connector Connector>
+asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_way_round(const std::string& database,
+                                                                                           std::uint64_t session) {
+    constexpr std::size_t tries = 2;
+    auto to = ways_round(database, session);
+    to.resize(std::min(to.size(), tries));
+    co_return co_await open_relay(std::move(to), database);
+}
+
+/// Where a session goes that was opened here.
+template <routing::link_connector Connector>
+asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_relay(conversation& with) {
+    auto out = co_await find_owner(with.state.database, with.state.id);
+    if (out != nullptr) {
+        with.where = served_by::owner;
+        co_return out;
+    }
+    out = co_await find_way_round(with.state.database, with.state.id);
+    if (out != nullptr) {
+        with.where = served_by::way_round;
+        log_event(event::session_relayed,
+                  "session=" + std::to_string(with.state.id) + " database=" + with.state.database + " reason=path_cut");
+    }
+    co_return out;
+}
+
+/// Whether a session would be placed elsewhere if it were opened now: others
+/// own the connections, the path to the primary is cut, or is there again.
+template <routing::link_connector Connector>
+bool traffic<Connector>::misplaced(const conversation& with) {
+    const auto& database = with.state.database;
+    switch (with.where) {
+    case served_by::owner:
+        return false;
+    case served_by::way_round:
+        return ways_round(database, 0).empty();
+    case served_by::itself:
+        return !ways_round(database, 0).empty() || (!with.relayed && !owns(database));
+    }
+    return false;
+}
+
+/// Ends sessions at rest whose path was cut, or is there again: their callers
+/// open others, which go where they are served.
+template <routing::link_connector Connector>
+void traffic<Connector>::close_misplaced() {
+    for (auto* item : m_sessions) {
+        const bool cut_changed = item->where == served_by::way_round || !ways_round(item->state.database, 0).empty();
+        if (item->status.resting && cut_changed && misplaced(*item)) {
+            item->status.close_if_quiet();
+        }
+    }
+}
+
 template <routing::link_connector Connector>
 asio::awaitable<sql::reply> traffic<Connector>::relay(conversation& with, typename Connector::relay& owner,
                                                       const sql::request& asked) {
