--- a/src/cornellever/routing/service_pool_line.ipp
+++ b/src/cornellever/routing/service_pool_line.ipp
@@ -63,7 +63,8 @@
                                          " typical_ms=" + std::to_string(std::llround(at.typical.value(now))) +
                                          " waiting=" + std::to_string(m_line.size()));
     offer(at);
-    const auto wanted = std::ranges::any_of(m_line.items(), [&](const auto* item) { return suits(item->want, at, now); });
+    const auto wanted =
+        std::ranges::any_of(m_line.items(), [&](const auto* item) { return suits(item->want, at, now); });
     if (wanted && may_open(at, now)) {
         open_one(at);
     }
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -71,8 +71,8 @@
         }
         for (std::size_t i = 0; i <= wanted; ++i) {
             if (m_owed.empty() || m_server.silent || m_lost) {
-                co_await sleep_for(
-                    std::chrono::milliseconds{std::min<long long>(to_ms(until - boot_clock::now()), m_server.silent_for.count())});
+                co_await sleep_for(std::chrono::milliseconds{
+                    std::min<long long>(to_ms(until - boot_clock::now()), m_server.silent_for.count())});
                 close();
                 co_return std::unexpected{routing::link_failure::silent};
             }
