--- /dev/null
+++ b/src/cornellever/routing/leader_log.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/sql/position.hpp"
+
+namespace cornellever::routing {
+
+/// How far the log of the last server was that proved its lead, so that a
+/// primary shows which started again with an empty log: it may still be taken
+/// for the leader, and would show callers a database without their commits.
+/// While a server leads, its log gets no shorter. Positions of different
+/// servers are not compared: one that was promoted may lack commits, which are
+/// rolled back then and which nobody is owed.
+class leader_log {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// A server that leads named `position`, as is known at `now`.
+    void note(const std::string& server, const sql::log_position& position, time_point now) {
+        if (m_server != server || !m_furthest || *m_furthest < position) {
+            m_server = server;
+            m_furthest = position;
+            m_known_since = now;
+        }
+    }
+
+    /// Whether `position`, named by a server that was asked at `asked_at`, lacks
+    /// what it held itself before that. An answer that another one has
+    /// overtaken names an older position and tells nothing.
+    [[nodiscard]] bool shorter_at(std::string_view server, const sql::log_position& position,
+                                  time_point asked_at) const {
+        return m_furthest && m_server == server && asked_at > m_known_since && position < *m_furthest;
+    }
+
+    /// The furthest position named; that of an empty log when none was.
+    [[nodiscard]] sql::log_position furthest() const noexcept { return m_furthest.value_or(sql::log_position{}); }
+
+private:
+    std::string m_server;
+    std::optional<sql::log_position> m_furthest;
+    time_point m_known_since{};
+};
+
+} // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -18,6 +18,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/connection_budget.hpp"
+#include "cornellever/routing/leader_log.hpp"
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/pool_entry.hpp"
 #include "cornellever/routing/read_floor.hpp"
@@ -173,7 +174,9 @@
         }
         if (!from.gone) {
             believe(from.server.id, asked_at);
-            note_furthest(from.server.id, position);
+            if (position) {
+                m_leader_log.note(from.server.id, *position, boot_clock::now());
+            }
         }
     }
 
@@ -293,9 +296,6 @@
     }
     slot& add_slot(entry& at, std::unique_ptr<link> connection);
     void learn_lead(slot& held, const sql::reply& from);
-    [[nodiscard]] bool has_lost_log(const entry& at, time_point asked_at,
-                                    const std::optional<sql::log_position>& position) const;
-    void note_furthest(const std::string& id, const std::optional<sql::log_position>& position);
     void note_log_lost(slot& held, const sql::log_position& position);
     void open_one(entry& at);
     asio::awaitable<void> open(entry& at);
@@ -340,14 +340,7 @@
     std::vector<std::unique_ptr<entry>> m_leaving;
     waiting_line<waiter> m_line;
     read_floor m_floor;
-    /// How far the log of the last server was that proved its lead here, and
-    /// since when that is known.
-    struct furthest_position {
-        std::string server;
-        sql::log_position position;
-        time_point known_since;
-    };
-    std::optional<furthest_position> m_furthest;
+    leader_log m_leader_log;
     /// A server that leads without the commits of before; empty when none does.
     std::string m_without_log;
     std::string m_primary;
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -10,7 +10,7 @@
 void service_pool<Connector>::learn_lead(slot& held, const sql::reply& from) {
     auto& at = *held.home;
     if (from.ok() && from.state == sql::transaction_state::open) {
-        if (has_lost_log(at, held.sent_at, from.position)) {
+        if (from.position && m_leader_log.shorter_at(at.server.id, *from.position, held.sent_at)) {
             note_log_lost(held, *from.position);
             return;
         }
@@ -22,25 +22,6 @@
     }
 }
 
-template <link_connector Connector>
-void service_pool<Connector>::note_furthest(const std::string& id, const std::optional<sql::log_position>& position) {
-    if (position && (!m_furthest || m_furthest->server != id || m_furthest->position < *position)) {
-        m_furthest = furthest_position{id, *position, boot_clock::now()};
-    }
-}
-
-/// Whether a server that proved its lead lacks what it held itself before it
-/// was asked. One that started again with an empty log may still be taken for
-/// the leader, and would show callers a database without their commits. A
-/// server that leads in between loses nothing; another one that was promoted
-/// may lack commits, which are rolled back then and which nobody is owed.
-template <link_connector Connector>
-bool service_pool<Connector>::has_lost_log(const entry& at, time_point asked_at,
-                                           const std::optional<sql::log_position>& position) const {
-    return position && m_furthest && m_furthest->server == at.server.id && asked_at > m_furthest->known_since &&
-           *position < m_furthest->position;
-}
-
 /// Its lead counts for nothing: another server that has the commits is to be
 /// promoted. It is asked again only now and then.
 template <link_connector Connector>
@@ -53,7 +34,7 @@
     if (m_without_log != at.server.id) {
         log_event(event::primary_lost, "service=" + m_service + " server=" + at.server.id +
                                            " reason=log_lost position=" + sql::to_string(position) +
-                                           " furthest=" + sql::to_string(m_furthest->position));
+                                           " furthest=" + sql::to_string(m_leader_log.furthest()));
     }
     m_without_log = at.server.id;
     if (m_primary == at.server.id) {
@@ -228,8 +209,7 @@
     if (!answer || !answer->ok()) {
         co_return false;
     }
-    const auto still = m_entries.find(id);
-    co_return still != m_entries.end() && !has_lost_log(*still->second, asked_at, answer->position);
+    co_return !answer->position || !m_leader_log.shorter_at(id, *answer->position, asked_at);
 }
 
 template <link_connector Connector>
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -435,6 +435,15 @@
     }
 }
 
+void scenario::strike(fault& next, time_point begun) {
+    if (!next.planned) {
+        disrupt();
+    }
+    const auto what = next.strike();
+    std::printf("%6lld ms %.*s %s\n", to_ms(boot_clock::now() - begun), static_cast<int>(next.name.size()),
+                next.name.data(), what.c_str());
+}
+
 asio::awaitable<void> scenario::odd_phase(std::chrono::seconds length, bool planned_only) {
     const auto begun = boot_clock::now();
     for (;;) {
@@ -443,15 +452,9 @@
             co_return;
         }
         auto& next = m_odd_faults[odd_below(m_odd_faults.size())];
-        if (planned_only && !next.planned) {
-            continue;
+        if (!planned_only || next.planned) {
+            strike(next, begun);
         }
-        if (!next.planned) {
-            disrupt();
-        }
-        const auto what = next.strike();
-        std::printf("%6lld ms %.*s %s\n", to_ms(boot_clock::now() - begun), static_cast<int>(next.name.size()),
-                    next.name.data(), what.c_str());
     }
 }
 
@@ -461,15 +464,9 @@
     while (boot_clock::now() - begun < length) {
         co_await sleep_for(between(100, 900));
         auto& next = m_faults[below(m_faults.size())];
-        if (planned_only && !next.planned) {
-            continue;
-        }
-        if (!next.planned) {
-            disrupt();
+        if (!planned_only || next.planned) {
+            strike(next, begun);
         }
-        const auto what = next.strike();
-        std::printf("%6lld ms %.*s %s\n", to_ms(boot_clock::now() - begun), static_cast<int>(next.name.size()),
-                    next.name.data(), what.c_str());
     }
 }
 
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -50,6 +50,7 @@
     void list_store_faults();
     void list_odd_faults();
     [[nodiscard]] std::string odd_row();
+    void strike(fault& next, time_point begun);
     asio::awaitable<void> odd_phase(std::chrono::seconds length, bool planned_only);
     asio::awaitable<void> housekeeping();
     asio::awaitable<void> watch_readiness(proxy_process& at);
