--- a/src/cornellever/core/asio.cpp
+++ b/src/cornellever/core/asio.cpp
@@ -26,6 +26,10 @@
     return true;
 }
 
+std::string to_string(const tcp::endpoint& where) {
+    return where.address().to_string() + ":" + std::to_string(where.port());
+}
+
 asio::awaitable<void> sleep_for(std::chrono::milliseconds duration) {
     asio::steady_timer timer{co_await asio::this_coro::executor, duration};
     boost::system::error_code ignored;
--- a/src/cornellever/core/daemon.cpp
+++ b/src/cornellever/core/daemon.cpp
@@ -48,8 +48,4 @@
     return true;
 }
 
-std::string to_string(const tcp::endpoint& where) {
-    return where.address().to_string() + ":" + std::to_string(where.port());
-}
-
 } // namespace cornellever
--- a/src/cornellever/core/daemon.hpp
+++ b/src/cornellever/core/daemon.hpp
@@ -40,7 +40,4 @@
 /// message on standard error at the first that is none.
 [[nodiscard]] bool parse_endpoints(std::span<const std::string> texts, std::vector<tcp::endpoint>& out);
 
-/// Formats an endpoint as `address:port`.
-[[nodiscard]] std::string to_string(const tcp::endpoint& where);
-
 } // namespace cornellever
