--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -72,7 +72,8 @@
     constexpr std::array<std::string_view, 2> names{"configuration", "servers"};
     const auto& plan = m_settings.watch.at(place(what));
     const auto& news = m_followed.at(place(what));
-    const auto others = sharing_the_watch(boot_clock::now());
+    const auto now = boot_clock::now();
+    const auto others = sharing_the_watch(now);
     // Turned away by a store that answers others, it leaves the work to them.
     const bool relies = !m_listed || (!m_store_reachable() && !others.empty() &&
                                       std::ranges::any_of(others, [&](const std::string& name) {
@@ -83,7 +84,7 @@
         out = pace_of(plan, watch_rank(names.at(place(what)), m_settings.name, others), m_members.counted());
     }
     out.current_at = news.current_at();
-    out.behind = news.behind(version_of(what));
+    out.behind = news.behind(version_of(what), now);
     return out;
 }
 
@@ -329,7 +330,7 @@
 void control<Store, Orders, Connector>::hear_of_tables(const peer_message& message, time_point counted_from) {
     const auto hear = [&](followed what, std::uint64_t version, const std::optional<std::chrono::milliseconds>& age) {
         if (age) {
-            m_followed.at(place(what)).hear(version, version_of(what), counted_from - *age);
+            m_followed.at(place(what)).hear(version, version_of(what), counted_from - *age, boot_clock::now());
         }
     };
     hear(followed::configuration, message.config_version, message.config_age);
@@ -354,7 +355,7 @@
     auto lead = config_behind ? feed_lead : registry_lead;
     if (!m_store_reachable()) {
         lead = std::chrono::milliseconds{0};
-    } else if (!config_behind && !pace(followed::servers).waits) {
+    } else if (!pace(config_behind ? followed::configuration : followed::servers).waits) {
         lead = message.data_center == m_settings.data_center ? std::chrono::milliseconds{0} : far_lead;
     }
     if (!m_catching_up && now - m_behind_since >= lead) {
--- a/src/cornellever/cluster/table_news.hpp
+++ b/src/cornellever/cluster/table_news.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 
 #include "cornellever/core/boot_clock.hpp"
@@ -22,19 +23,32 @@
 
     /// A peer holds `theirs`, which was current at `at`, where this proxy holds
     /// `mine`. An older copy says nothing of this one.
-    void hear(std::uint64_t theirs, std::uint64_t mine, time_point at) {
-        m_newest = std::max(m_newest, theirs);
+    void hear(std::uint64_t theirs, std::uint64_t mine, time_point at, time_point now) {
+        if (theirs > m_newest) {
+            m_newest = theirs;
+            m_newest_heard_at = now;
+        }
         if (theirs == mine) {
             note_current(at);
         }
     }
 
     [[nodiscard]] time_point current_at() const noexcept { return m_current_at; }
-    [[nodiscard]] bool behind(std::uint64_t mine) const noexcept { return m_newest > mine; }
+
+    /// Whether a peer has had a newer version for so long that it should be here
+    /// by now.
+    [[nodiscard]] bool behind(std::uint64_t mine, time_point now) const noexcept {
+        return m_newest > mine && now - m_newest_heard_at >= passed_on_within;
+    }
 
 private:
+    /// A peer of the same data centre is asked at once, one of another after
+    /// 0.6 s; the answer takes milliseconds, on a busy VM a good part of a second.
+    static constexpr std::chrono::milliseconds passed_on_within{1000};
+
     time_point m_current_at{};
     std::uint64_t m_newest{0};
+    time_point m_newest_heard_at{};
 };
 
 } // namespace cornellever::cluster
--- a/src/cornellever/session/caller.hpp
+++ b/src/cornellever/session/caller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,6 +18,8 @@
     std::string database;
     /// Another proxy relays it and must not be relayed to in turn.
     bool relayed{false};
+    /// Of a relayed session: the position of its last commit at another proxy.
+    std::optional<sql::log_position> last_commit{};
 };
 
 /// Input that is none of the protocol's.
--- a/src/cornellever/session/relay.cpp
+++ b/src/cornellever/session/relay.cpp
@@ -17,4 +17,16 @@
     return out;
 }
 
+std::vector<sql::statement> statements_of(const session_state& from) {
+    std::vector<sql::statement> out;
+    for (const auto& [name, value] : from.values) {
+        out.push_back({.kind = sql::statement_kind::set, .name = name, .text = value});
+    }
+    for (const auto& [name, item] : from.prepared) {
+        out.push_back(
+            {.kind = sql::statement_kind::prepare, .name = name, .touches = item.touches, .text = item.shape});
+    }
+    return out;
+}
+
 } // namespace cornellever::session
--- a/src/cornellever/session/relay.hpp
+++ b/src/cornellever/session/relay.hpp
@@ -5,12 +5,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/boot_clock.hpp"
+#include "cornellever/routing/backend_link.hpp"
 #include "cornellever/session/answers.hpp"
 #include "cornellever/session/ownership.hpp"
+#include "cornellever/session/session_state.hpp"
 #include "cornellever/sql/statement.hpp"
 
 namespace cornellever::session {
@@ -18,9 +21,9 @@
 /// A session at another proxy, opened for a caller of this one.
 template <typename T>
 concept relayed_session = requires(T peer, const sql::request& request, boot_clock::time_point until) {
-    /// The peer's answer; nothing when the connection ended before it, or when
-    /// a request that was passed on before was refused.
-    { peer.ask(request, until) } -> std::same_as<asio::awaitable<std::optional<sql::reply>>>;
+    /// The peer's answer. `not_sent` also where the peer took no session, or
+    /// refused a request that was passed on before.
+    { peer.ask(request, until) } -> std::same_as<asio::awaitable<routing::link_reply>>;
     /// Passes a request on whose answer is known; the next `ask` looks whether
     /// it came so. False when nothing was sent.
     { peer.pass_on(request) } -> std::same_as<bool>;
@@ -28,48 +31,27 @@
     {peer.close()};
 };
 
-/// Where a session stands after a statement that its owner only takes note of,
-/// so that the caller need not wait for it; nothing for one that has to be
-/// asked. An opening session brings about eight of these, one after the other,
-/// and each waited for the owner's turn of the processor. A statement that runs
-/// is sent only once the owner has agreed to all that went before: a read must
-/// not run outside the transaction that its caller was told is open.
-[[nodiscard]] constexpr std::optional<sql::transaction_state> state_known_ahead(sql::statement_kind kind,
-                                                                                sql::transaction_state now) {
-    using sql::statement_kind;
-    using sql::transaction_state;
-    if (now == transaction_state::failed) {
-        return std::nullopt;
-    }
-    switch (kind) {
-    case statement_kind::set:
-    case statement_kind::prepare:
-        return now;
-    case statement_kind::begin:
-    case statement_kind::begin_read_only:
-        return now == transaction_state::idle ? std::optional{transaction_state::open} : std::nullopt;
-    case statement_kind::rollback:
-        return transaction_state::idle;
-    default:
-        return std::nullopt;
-    }
-}
+/// The id of the proxy's own statements to another proxy, which takes callers'
+/// statements only and needs one.
+inline constexpr std::string_view replay_id = "replay";
+
+/// What brings a new session to the values and prepared statements of this one.
+[[nodiscard]] std::vector<sql::statement> statements_of(const session_state& from);
 
 /// What to answer when the owner's connection ended before its answer. The
 /// transaction that was open there is rolled back; a commit or a write outside
-/// a transaction may have run.
+/// a transaction that was sent may have changed something.
 [[nodiscard]] inline sql::reply unanswered_by_owner(const sql::request& request, sql::transaction_state state,
-                                                    bool may_write) {
-    if (request.what.kind == sql::statement_kind::rollback) {
-        return acknowledged(sql::transaction_state::idle);
-    }
-    if (request.what.kind == sql::statement_kind::commit && state == sql::transaction_state::failed) {
-        return refused(sql::refusal::aborted, "the transaction failed", sql::transaction_state::idle);
-    }
-    if (request.what.kind == sql::statement_kind::commit || (state == sql::transaction_state::idle && may_write)) {
+                                                    bool may_have_changed) {
+    const bool commit = request.what.kind == sql::statement_kind::commit;
+    if (may_have_changed && (commit || state == sql::transaction_state::idle)) {
         return refused(sql::refusal::outcome_unknown, "the proxy that owns the connections is gone",
                        sql::transaction_state::idle);
     }
+    if (commit) {
+        return refused(sql::refusal::aborted, "the proxy that owns the connections is gone",
+                       sql::transaction_state::idle);
+    }
     if (state == sql::transaction_state::idle) {
         return refused_for_now("the proxy that owns the connections is gone", std::chrono::milliseconds{50});
     }
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -14,6 +14,7 @@
 #include "cornellever/routing/model.hpp"
 #include "cornellever/routing/service_pool.hpp"
 #include "cornellever/session/caller.hpp"
+#include "cornellever/session/conversation.hpp"
 #include "cornellever/session/ownership.hpp"
 #include "cornellever/session/primary_paths.hpp"
 #include "cornellever/session/relay.hpp"
@@ -21,17 +22,6 @@
 
 namespace cornellever::session {
 
-/// Where an open session stands, for a planned stop.
-struct session_status {
-    /// The caller waits for nothing and has no transaction open: closing the
-    /// connection now cuts nothing.
-    bool resting{false};
-    /// The caller is waited for, resting or inside a transaction.
-    bool waited_for{false};
-    /// Closes it unless a request has arrived meanwhile.
-    std::function<void()> close_if_quiet;
-};
-
 /// The traffic side of a proxy that serves statement sessions: the
 /// configuration in force, the pools, and the open sessions.
 /// Used from the traffic thread only.
@@ -64,13 +54,13 @@
         m_paths.note(service, through, heard_at);
     }
 
-    /// Housekeeping of the pools and of sessions that are better elsewhere.
+    /// Housekeeping of the pools and of sessions whose path was cut.
     void tick() {
         watch_paths();
         for (auto& [name, backends] : m_pools) {
             backends->tick();
         }
-        close_misplaced();
+        close_cut_off();
     }
 
     /// Serves one caller until its session ends.
@@ -103,23 +93,8 @@
 
 private:
     using transaction = typename engine::transaction;
-
-    /// Who runs a session's statements.
-    enum class served_by { itself, owner, way_round };
-
-    /// One session being served.
-    struct conversation {
-        session_state state;
-        std::optional<transaction> open{};
-        session_status status{};
-        /// Of another proxy's caller.
-        bool relayed{false};
-        /// Served by an owner of scarce connections, or by a proxy that reaches
-        /// the primary while this one does not.
-        served_by where{served_by::itself};
-        /// Of a relayed session, as the owner said last.
-        sql::transaction_state relayed_state{sql::transaction_state::idle};
-    };
+    using conversation = session::conversation<Connector>;
+    using part_elsewhere = relayed_part<typename Connector::relay>;
 
     void share_servers();
     [[nodiscard]] bool owns(const std::string& database);
@@ -127,16 +102,24 @@
     asio::awaitable<void> await_proxies();
     [[nodiscard]] const ownership& share_of(const std::string& service);
     void share_connections_anew();
-    using relay_ptr = std::unique_ptr<typename Connector::relay>;
-    asio::awaitable<relay_ptr> find_owner(const std::string& database, std::uint64_t session);
-    asio::awaitable<relay_ptr> find_way_round(const std::string& database, std::uint64_t session);
-    asio::awaitable<relay_ptr> open_relay(std::vector<proxy_place> to, std::string database);
-    asio::awaitable<relay_ptr> find_relay(conversation& with);
     [[nodiscard]] std::vector<proxy_place> ways_round(const std::string& database, std::uint64_t session) const;
     void watch_paths();
-    [[nodiscard]] bool misplaced(const conversation& with);
-    void close_misplaced();
-    asio::awaitable<sql::reply> relay(conversation& with, typename Connector::relay& owner, const sql::request& asked);
+    void close_cut_off();
+    void place_session(conversation& with);
+    [[nodiscard]] std::vector<proxy_place> peers_for(const conversation& with);
+    asio::awaitable<bool> reach_peer(conversation& with);
+    [[nodiscard]] std::optional<sql::reply> note_for_peer(conversation& with, const sql::request& asked);
+    static sql::reply after_failure(part_elsewhere& part, const sql::request& asked);
+    static void pass_on(part_elsewhere& part, const sql::request& asked);
+    [[nodiscard]] static bool writes(const conversation& with, const sql::request& asked);
+    asio::awaitable<routing::link_reply> run_at_peer(conversation& with, const sql::request& asked,
+                                                     boot_clock::time_point until);
+    [[nodiscard]] static bool may_run_again(const conversation& with, const sql::request& asked,
+                                            routing::link_failure why);
+    asio::awaitable<sql::reply> relay(conversation& with, const sql::request& asked);
+    asio::awaitable<sql::reply> run_here(conversation& with, const sql::request& asked);
+    asio::awaitable<sql::reply> answer_where_placed(conversation& with, const sql::request& asked);
+    [[nodiscard]] bool refuse_opening(const session_opening& opening, auto& caller);
     void count(const sql::reply& out, boot_clock::time_point arrival);
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> run(conversation& with, const sql::request& asked);
@@ -149,9 +132,14 @@
 
     /// A session without a transaction may rest as long as it likes.
     static constexpr std::chrono::hours resting_limit{24};
-    /// An owner that is well takes a session in a few round trips; a caller
-    /// gives up after 2 s.
+    /// A proxy that is well takes a connection in a round trip.
     static constexpr std::chrono::milliseconds owner_limit{300};
+    /// Other proxies that are tried for one operation: its caller waits
+    /// meanwhile, and aims at 120 ms.
+    static constexpr std::size_t peer_tries = 2;
+    /// One that took no session, or ended it, comes last for so long: a process
+    /// that was stopped is back after a second or two.
+    static constexpr std::chrono::milliseconds unreached_for{2000};
     /// From the start of the process: twice what the slowest of 88 small VMs
     /// took to load 1,346 databases after all had been started together
     /// (0.48 s). Callers give up an opening after 2 s.
@@ -173,6 +161,8 @@
     routing::registry m_registry;
     std::vector<proxy_place> m_proxies;
     primary_paths m_paths;
+    /// Proxies that took no session or ended it, and when.
+    std::map<std::string, boot_clock::time_point, std::less<>> m_unreached;
     /// By service, worked out when first asked for.
     std::map<std::string, ownership, std::less<>> m_shares;
     traffic_counters m_counters;
@@ -190,4 +180,5 @@
 } // namespace cornellever::session
 
 #include "cornellever/session/traffic.ipp"
+#include "cornellever/session/traffic_relay.ipp"
 #include "cornellever/session/traffic_sharing.ipp"
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -64,7 +64,7 @@
 template <routing::link_connector Connector>
 sql::transaction_state traffic<Connector>::state_of(const conversation& with) {
     if (!with.open) {
-        return sql::transaction_state::idle;
+        return with.elsewhere.state;
     }
     return with.open->failed ? sql::transaction_state::failed : sql::transaction_state::open;
 }
@@ -110,6 +110,28 @@
     }
 }
 
+/// Refuses an opening that can't be served; whether it did.
+template <routing::link_connector Connector>
+bool traffic<Connector>::refuse_opening(const session_opening& opening, auto& caller) {
+    std::string reason;
+    if (!m_config.routes.contains(opening.database)) {
+        const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
+        reason = sql::to_string(why);
+        caller.refuse({why, opening.database});
+    } else if (opening.relayed && !ways_round(opening.database, 0).empty()) {
+        // The proxy that asks has others to try, and knows none of them to be
+        // any better than this one.
+        reason = "path_cut";
+        caller.refuse({sql::refusal::overloaded, "the primary is out of reach"});
+    } else {
+        return false;
+    }
+    log_event(event::session_refused, "database=" + opening.database + " reason=" + reason +
+                                          " config=" + std::to_string(m_config.version));
+    caller.close();
+    return true;
+}
+
 template <routing::link_connector Connector>
 template <caller_channel Caller>
 asio::awaitable<void> traffic<Connector>::serve(Caller caller) {
@@ -121,47 +143,22 @@
         co_return;
     }
     co_await await_configuration();
-    if (!m_config.routes.contains(opening->database)) {
-        const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
-        log_event(event::session_refused, "database=" + opening->database +
-                                              " reason=" + std::string{sql::to_string(why)} +
-                                              " config=" + std::to_string(m_config.version));
-        caller.refuse({why, opening->database});
-        caller.close();
+    if (refuse_opening(*opening, caller)) {
         co_return;
     }
     conversation with;
     with.state.id = ++m_last_session;
     with.state.database = opening->database;
+    with.state.last_commit = opening->last_commit;
     with.status.close_if_quiet = [&caller] { caller.close_if_quiet(); };
+    with.relayed = opening->relayed;
     m_sessions.insert(&with);
     ++m_counters.sessions_opened;
-    with.relayed = opening->relayed;
-    relay_ptr owner;
-    if (!opening->relayed) {
-        co_await await_proxies();
-        owner = co_await find_relay(with);
-    } else if (!ways_round(opening->database, 0).empty()) {
-        // The proxy that asks has others to try, and knows none of them to be
-        // any better than this one.
-        log_event(event::session_refused, "database=" + opening->database + " reason=path_cut");
-        m_sessions.erase(&with);
-        caller.refuse({sql::refusal::overloaded, "the primary is out of reach"});
-        caller.close();
-        co_return;
-    }
     caller.welcome();
     bool answered = false;
     for (;;) {
-        with.status.resting = !with.open && with.relayed_state == sql::transaction_state::idle;
-        if (owner && !owner->open() && with.status.resting && caller.close_if_quiet()) {
-            // The owner ended the session at rest: the caller opens another.
-            break;
-        }
-        // Served here although others own the connections: the session began
-        // before they were known. Its caller's next one is relayed.
-        const bool moves = answered && misplaced(with);
-        const bool closing = m_closing_resting || ((m_closing || moves) && answered);
+        with.status.resting = with.between_operations();
+        const bool closing = m_closing_resting || (m_closing && answered);
         // A request that has arrived is still answered: the caller could not
         // know that the session was about to end.
         if (closing && with.status.resting && caller.close_if_quiet()) {
@@ -173,12 +170,7 @@
         with.status.resting = false;
         if (const auto* asked = std::get_if<sql::request>(&happened)) {
             const auto arrival = boot_clock::now();
-            sql::reply out;
-            if (owner) {
-                out = co_await relay(with, *owner, *asked);
-            } else {
-                out = co_await answer(with, *asked);
-            }
+            const sql::reply out = co_await answer_where_placed(with, *asked);
             count(out, arrival);
             caller.send(out);
             answered = true;
@@ -200,13 +192,23 @@
     if (with.open) {
         m_engine.undo(*with.open);
     }
-    if (owner) {
-        owner->close();
-    }
+    with.elsewhere.close();
     m_sessions.erase(&with);
     caller.close();
 }
 
+template <routing::link_connector Connector>
+asio::awaitable<sql::reply> traffic<Connector>::answer_where_placed(conversation& with, const sql::request& asked) {
+    if (!with.relayed && m_proxies.empty()) {
+        co_await await_proxies();
+    }
+    place_session(with);
+    if (with.where == served_by::itself) {
+        co_return co_await answer(with, asked);
+    }
+    co_return co_await relay(with, asked);
+}
+
 template <routing::link_connector Connector>
 sql::reply traffic<Connector>::begin(conversation& with, bool read_only) {
     if (with.open) {
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -48,36 +48,6 @@
     }
 }
 
-template <routing::link_connector Connector>
-asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_owner(const std::string& database,
-                                                                                       std::uint64_t session) {
-    const auto route = m_config.routes.find(database);
-    if (route == m_config.routes.end()) {
-        // Removed while the session waited for the proxies to be known.
-        co_return nullptr;
-    }
-    // A copy: proxies may come and go while owners are tried.
-    const auto shared = share_of(route->second.service);
-    if (shared.owns(m_name)) {
-        co_return nullptr;
-    }
-    co_return co_await open_relay(relay_order(shared, m_data_center, session), database);
-}
-
-/// A session at the first of the proxies that takes it.
-template <routing::link_connector Connector>
-asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::open_relay(std::vector<proxy_place> to,
-                                                                                       std::string database) {
-    for (const auto& peer : to) {
-        auto opened = co_await m_connector.open_relay(peer.callers, database, boot_clock::now() + owner_limit);
-        if (opened != nullptr) {
-            co_return opened;
-        }
-        log_event(event::connect_failed, "owner=" + peer.name + " database=" + database + " reason=relay");
-    }
-    co_return nullptr;
-}
-
 /// The proxies that reach the primary of a database while this one does not.
 template <routing::link_connector Connector>
 std::vector<proxy_place> traffic<Connector>::ways_round(const std::string& database, std::uint64_t session) const {
@@ -99,84 +69,15 @@
     }
 }
 
-/// A session at a proxy that reaches the primary; null where this one does, or
-/// none is known to. Two tries at the most: a caller waits meanwhile.
-template <routing::link_connector Connector>
-asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_way_round(const std::string& database,
-                                                                                           std::uint64_t session) {
-    constexpr std::size_t tries = 2;
-    auto to = ways_round(database, session);
-    to.resize(std::min(to.size(), tries));
-    co_return co_await open_relay(std::move(to), database);
-}
-
-/// Where a session goes that was opened here.
-template <routing::link_connector Connector>
-asio::awaitable<typename traffic<Connector>::relay_ptr> traffic<Connector>::find_relay(conversation& with) {
-    auto out = co_await find_owner(with.state.database, with.state.id);
-    if (out != nullptr) {
-        with.where = served_by::owner;
-        co_return out;
-    }
-    out = co_await find_way_round(with.state.database, with.state.id);
-    if (out != nullptr) {
-        with.where = served_by::way_round;
-        log_event(event::session_relayed,
-                  "session=" + std::to_string(with.state.id) + " database=" + with.state.database + " reason=path_cut");
-    }
-    co_return out;
-}
-
-/// Whether a session would be placed elsewhere if it were opened now: others
-/// own the connections, the path to the primary is cut, or is there again.
-template <routing::link_connector Connector>
-bool traffic<Connector>::misplaced(const conversation& with) {
-    const auto& database = with.state.database;
-    switch (with.where) {
-    case served_by::owner:
-        return false;
-    case served_by::way_round:
-        return ways_round(database, 0).empty();
-    case served_by::itself:
-        return !ways_round(database, 0).empty() || (!with.relayed && !owns(database));
-    }
-    return false;
-}
-
-/// Ends sessions at rest whose path was cut, or is there again: their callers
-/// open others, which go where they are served.
+/// Ends relayed sessions at rest whose path to the primary was cut here: the
+/// proxies that relay them have others to try.
 template <routing::link_connector Connector>
-void traffic<Connector>::close_misplaced() {
+void traffic<Connector>::close_cut_off() {
     for (auto* item : m_sessions) {
-        const bool cut_changed = item->where == served_by::way_round || !ways_round(item->state.database, 0).empty();
-        if (item->status.resting && cut_changed && misplaced(*item)) {
+        if (item->relayed && item->status.resting && !ways_round(item->state.database, 0).empty()) {
             item->status.close_if_quiet();
         }
     }
 }
 
-template <routing::link_connector Connector>
-asio::awaitable<sql::reply> traffic<Connector>::relay(conversation& with, typename Connector::relay& owner,
-                                                      const sql::request& asked) {
-    const auto route = m_config.routes.find(with.state.database);
-    const auto known = state_known_ahead(asked.what.kind, with.relayed_state);
-    if (known && route != m_config.routes.end() && owner.pass_on(asked)) {
-        with.relayed_state = *known;
-        co_return acknowledged(*known);
-    }
-    const auto limit = route == m_config.routes.end() ? owner_limit : route->second.statement_timeout;
-    auto out = co_await owner.ask(asked, boot_clock::now() + limit + owner_slack);
-    if (!out) {
-        const auto kind = asked.what.kind;
-        const bool may_write = kind == sql::statement_kind::write || kind == sql::statement_kind::execute;
-        out = unanswered_by_owner(asked, with.relayed_state, may_write);
-        const bool unknown = !out->ok() && out->why() == sql::refusal::outcome_unknown;
-        log_event(unknown ? event::outcome_unknown : event::request_refused,
-                  "request=" + asked.id + " database=" + with.state.database + " reason=owner_gone answer=" +
-                      std::string{out->ok() ? "rolled_back" : sql::to_string(out->why())});
-    }
-    with.relayed_state = out->state;
-    co_return *out;
-}
-
 } // namespace cornellever::session
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -225,4 +225,78 @@
     BOOST_TEST(transcript == read_file(golden), "got\n" << transcript << "\nexpected the text of " << golden);
 }
 
+namespace {
+
+/// A proxy that takes callers on loopback.
+struct listening_proxy {
+    listening_proxy(event_loop& io, std::string name, std::uint16_t port)
+        : connector{io.get_executor(), "proxy"}
+        , host{io.get_executor(), connector, std::move(name), "here"}
+        , callers{io.get_executor(), host}
+        , here{asio::ip::make_address("127.0.0.1"), port} {
+        BOOST_TEST_REQUIRE(callers.start(here).has_value());
+    }
+
+    platform::backend_connector connector;
+    platform::traffic host;
+    platform::caller_listener callers;
+    tcp::endpoint here;
+};
+
+/// A session over TCP to a primary, through as many proxies as `relayed` says.
+std::string played_transcript(const std::vector<std::string>& lines, bool relayed, std::uint16_t port) {
+    event_loop io;
+    test::wire_server primary{io, "stock", "p", true};
+    auto servers = test::three_servers();
+    servers.servers.erase("r1");
+    servers.servers.erase("r2");
+    servers.servers["p"].address = primary.address();
+    auto config = test::three_databases();
+    config.services["stock"].max_connections = 5;
+    listening_proxy entry{io, "a", port};
+    listening_proxy owner{io, "owner", static_cast<std::uint16_t>(port + 1)};
+    for (auto* proxy : {&entry, &owner}) {
+        proxy->host.update(config);
+        proxy->host.update(servers);
+    }
+    owner.host.set_proxies({{"owner", "here", owner.here}});
+    std::vector<session::proxy_place> places{{"a", "here", entry.here}};
+    for (int i = 0; relayed && i < 19; ++i) {
+        places.push_back({"p" + std::to_string(i), "here", owner.here});
+    }
+    entry.host.set_proxies(places);
+    std::string transcript;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await talk(entry.here, lines, transcript);
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    BOOST_TEST((owner.host.counters().sessions_opened > 0U) == relayed);
+    io.abandon_pending();
+    return transcript;
+}
+
+} // namespace
+
+// A buyer behind a proxy without connections gets other answers than one behind
+// its owner: what the relay answers ahead, keeps and replays has to read to the
+// caller as if one proxy had served the session.
+BOOST_AUTO_TEST_CASE(a_relayed_session_reads_as_one_that_is_served_here) {
+    const std::vector<std::string> lines{
+        "STARTUP strict u1",      "QUERY 1 SET lang fj",      "QUERY 2 PREPARE r_1 READ q1", "QUERY 3 READ oven",
+        "QUERY 4 BEGIN",          "QUERY 5 SET lang en",      "QUERY 6 EXECUTE r_1 oven",    "QUERY 7 WRITE oven sold",
+        "QUERY 8 COMMIT",         "QUERY 9 EXECUTE r_1 oven", "QUERY 10 BEGIN",              "QUERY 11 WRITE oven free",
+        "QUERY 12 ROLLBACK",      "QUERY 13 COMMIT",          "QUERY 14 EXECUTE s9 oven",    "QUERY 15 DEALLOCATE r_1",
+        "QUERY 16 DEALLOCATE r_1", "QUERY 17 BEGIN READ",     "QUERY 18 WRITE oven free",    "QUERY 19 READ oven",
+        "QUERY 20 COMMIT",        "QUERY 21 BEGIN",           "QUERY 22 BEGIN",              "QUERY 23 COMMIT",
+        "QUERY 24 ROLLBACK",      "QUERY 25 READ oven"};
+    const auto here = played_transcript(lines, false, 37321);
+    const auto relayed = played_transcript(lines, true, 37331);
+    BOOST_TEST(relayed == here);
+    BOOST_TEST(here.find("closed") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
