--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -127,6 +127,7 @@
         return what == followed::configuration ? m_config.version : m_registry.effective().version;
     }
     [[nodiscard]] std::vector<std::string> sharing_the_watch(time_point now) const;
+    [[nodiscard]] bool fetches_from_afar(time_point now) const;
     asio::awaitable<void> receive();
     asio::awaitable<void> tick();
     asio::awaitable<void> register_self();
@@ -180,9 +181,9 @@
     /// The feed of the store is given that long before a peer is asked: half a
     /// megabyte takes 0.4 s over the slowest links (10 Mbit/s).
     static constexpr std::chrono::milliseconds feed_lead{500};
-    /// A peer in the same data centre has what another one has a moment later,
-    /// and bytes between data centres are paid for.
-    static constexpr std::chrono::milliseconds far_lead{600};
+    /// By then it has come to this data centre, unless those that fetch it are
+    /// cut off.
+    static constexpr std::chrono::milliseconds far_lead{1200};
     /// Servers leave with notice, and one that is gone shows by itself.
     static constexpr std::chrono::milliseconds registry_lead{1500};
     /// Until the others are known, the fewest connections are used.
@@ -235,5 +236,7 @@
 } // namespace cornellever::cluster
 
 #include "cornellever/cluster/control.ipp"
+#include "cornellever/cluster/control_joining.ipp"
 #include "cornellever/cluster/control_peers.ipp"
 #include "cornellever/cluster/control_primaries.ipp"
+#include "cornellever/cluster/control_tables.ipp"
--- a/src/cornellever/cluster/counted_store.hpp
+++ b/src/cornellever/cluster/counted_store.hpp
@@ -29,9 +29,9 @@
     claim,
 };
 
-inline constexpr std::array store_purposes{store_purpose::own_row,       store_purpose::first_reading,
-                                           store_purpose::waiting,       store_purpose::reading_again,
-                                           store_purpose::retry,         store_purpose::claim};
+inline constexpr std::array store_purposes{store_purpose::own_row, store_purpose::first_reading,
+                                           store_purpose::waiting, store_purpose::reading_again,
+                                           store_purpose::retry,   store_purpose::claim};
 
 [[nodiscard]] constexpr std::string_view to_string(store_purpose why) noexcept {
     switch (why) {
@@ -74,7 +74,8 @@
         co_return out;
     }
 
-    asio::awaitable<result<store_rows>> changes(std::string table, std::uint64_t after, std::chrono::milliseconds wait) {
+    asio::awaitable<result<store_rows>> changes(std::string table, std::uint64_t after,
+                                                std::chrono::milliseconds wait) {
         add(table, store_purpose::waiting);
         auto out = co_await m_store.changes(table, after, wait);
         note(table, out.has_value() || out.error().code == errc::behind);
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -33,8 +33,9 @@
     /// `pace` is asked before each question: a connection that went silent is
     /// noticed when the wait that it told has passed, plus the store's own call
     /// limit.
-    table_follower(Store& store, std::string table, std::function<watch_pace()> pace, on_change changed,
-                   on_current current = [](boot_clock::time_point) {})
+    table_follower(
+        Store& store, std::string table, std::function<watch_pace()> pace, on_change changed,
+        on_current current = [](boot_clock::time_point) {})
         : m_store{store}
         , m_table{std::move(table)}
         , m_pace{std::move(pace)}
--- a/src/cornellever/cluster/table_news.hpp
+++ b/src/cornellever/cluster/table_news.hpp
@@ -43,8 +43,8 @@
 
 private:
     /// A peer of the same data centre is asked at once, one of another after
-    /// 0.6 s; the answer takes milliseconds, on a busy VM a good part of a second.
-    static constexpr std::chrono::milliseconds passed_on_within{1000};
+    /// 1.2 s; the answer takes milliseconds, on a busy VM a good part of a second.
+    static constexpr std::chrono::milliseconds passed_on_within{1800};
 
     time_point m_current_at{};
     std::uint64_t m_newest{0};
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -18,6 +18,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/connection_budget.hpp"
+#include "cornellever/routing/connection_lease.hpp"
 #include "cornellever/routing/leader_log.hpp"
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/pool_entry.hpp"
@@ -64,43 +65,7 @@
     using entry = pool_entry<link>;
     using time_point = boot_clock::time_point;
 
-    /// A connection handed out, or none; closed on destruction unless it was
-    /// released.
-    class lease {
-    public:
-        lease() = default;
-        lease(service_pool& pool, slot& held) : m_pool{&pool}, m_slot{&held} {}
-        lease(lease&& other) noexcept : m_pool{other.m_pool}, m_slot{std::exchange(other.m_slot, nullptr)} {}
-        lease& operator=(lease&& other) noexcept {
-            if (this != &other) {
-                drop();
-                m_pool = other.m_pool;
-                m_slot = std::exchange(other.m_slot, nullptr);
-            }
-            return *this;
-        }
-        ~lease() { drop(); }
-
-        explicit operator bool() const noexcept { return m_slot != nullptr; }
-        slot* operator->() const noexcept { return m_slot; }
-        slot& operator*() const noexcept { return *m_slot; }
-        [[nodiscard]] const backend_server& server() const noexcept { return m_slot->home->server; }
-
-        /// Hands the connection back. Answers still owed are awaited first.
-        void release() { m_pool->take_back(*std::exchange(m_slot, nullptr)); }
-
-        /// Closes the connection, which rolls back what is open on it.
-        void drop() {
-            if (m_slot != nullptr) {
-                m_slot->connection->close();
-                release();
-            }
-        }
-
-    private:
-        service_pool* m_pool{nullptr};
-        slot* m_slot{nullptr};
-    };
+    using lease = connection_lease<service_pool>;
 
     service_pool(asio::any_io_executor executor, Connector& connector, std::string service, std::string data_center)
         : m_executor{std::move(executor)}
@@ -111,11 +76,14 @@
     service_pool(const service_pool&) = delete;
     service_pool& operator=(const service_pool&) = delete;
 
-    /// Connections to each server that this proxy may hold, and how many
-    /// proxies use the same servers.
-    void set_budget(std::size_t connections, std::size_t proxies) {
+    /// Connections to each server that this proxy may hold, how many proxies
+    /// use the same servers, and whether it is meant to be one of these. One
+    /// that is not serves what nobody else takes, and then gives the
+    /// connections back.
+    void set_budget(std::size_t connections, std::size_t proxies, bool owned = true) {
         m_budget = connections;
         m_proxies = proxies;
+        m_owned = owned;
     }
 
     /// A configuration came into force. A transaction that was opened before
@@ -242,7 +210,7 @@
 
     /// Has the primary asked for its position soon.
     void want_sample() {
-        m_used = true;
+        note_use();
         tick();
     }
 
@@ -265,6 +233,8 @@
     asio::awaitable<link_reply> ask(std::string id, sql::command what, std::chrono::milliseconds limit);
 
 private:
+    friend connection_lease<service_pool>;
+
     struct waiter {
         connection_want want;
         int priority{0};
@@ -277,6 +247,7 @@
 
     std::set<std::string, std::less<>> retire_all_but(const std::vector<const backend_server*>& servers);
     void retire(entry& leaving);
+    void close_idle(entry& at);
     [[nodiscard]] bool suits(const connection_want& want, const entry& at, time_point now) const;
     [[nodiscard]] slot* grab(const connection_want& want);
     [[nodiscard]] slot* best_idle(entry& at, const connection_want& want) const;
@@ -291,6 +262,11 @@
     void grant(waiter& next, slot& held);
     void offer(entry& at);
     void replace_overdue(entry& at, time_point now);
+    void note_use() {
+        m_used = true;
+        m_used_at = boot_clock::now();
+    }
+    void give_back_unused(time_point now);
     [[nodiscard]] bool may_open(const entry& at, time_point now) const {
         return now >= at.open_after && at.held() < m_budget + std::min(at.overdue(), m_budget);
     }
@@ -326,6 +302,11 @@
     /// apply a commit within 50 ms on average.
     static constexpr std::chrono::milliseconds ordinary_lag{150};
     static constexpr std::chrono::milliseconds progress_period{100};
+    /// Connections of a proxy that does not own them are given back after so
+    /// long without a request: longer than a transaction rests, and short beside
+    /// a partition. After one of 12 s every third of 195 proxies kept its own,
+    /// the servers were full, and 1 in 30 requests was refused from then on.
+    static constexpr std::chrono::milliseconds unused_for{1000};
     /// The registry is told 7 s before a server leaves; new work stops well
     /// before, and only the primary gets any at all.
     static constexpr std::chrono::milliseconds leaving_primary_use{5500};
@@ -348,6 +329,8 @@
     time_point m_epoch{};
     bool m_seeking{false};
     bool m_used{false};
+    time_point m_used_at{};
+    bool m_owned{true};
     bool m_path_cut{false};
 };
 
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -62,13 +62,10 @@
     return out;
 }
 
-/// Closes the idle connections of an entry that is used no more; those in use
-/// are closed as they are handed back.
 template <link_connector Connector>
-void service_pool<Connector>::retire(entry& leaving) {
-    leaving.gone = true;
+void service_pool<Connector>::close_idle(entry& at) {
     std::vector<slot*> idle;
-    for (auto& item : leaving.slots) {
+    for (auto& item : at.slots) {
         if (!item->busy) {
             idle.push_back(item.get());
         }
@@ -76,9 +73,29 @@
     for (auto* item : idle) {
         destroy(*item);
     }
+}
+
+/// Closes the idle connections of an entry that is used no more; those in use
+/// are closed as they are handed back.
+template <link_connector Connector>
+void service_pool<Connector>::retire(entry& leaving) {
+    leaving.gone = true;
+    close_idle(leaving);
     forget_if_empty(leaving);
 }
 
+/// Closes what a proxy that does not own connections no longer needs.
+template <link_connector Connector>
+void service_pool<Connector>::give_back_unused(time_point now) {
+    if (m_owned || !m_used || !m_line.empty() || now - m_used_at < unused_for) {
+        return;
+    }
+    for (auto& [id, at] : m_entries) {
+        close_idle(*at);
+    }
+    m_used = std::ranges::any_of(m_entries, [](const auto& item) { return item.second->held() > 0; });
+}
+
 template <link_connector Connector>
 bool service_pool<Connector>::suits(const connection_want& want, const entry& at, time_point now) const {
     const bool primary = at.server.id == m_primary;
--- a/src/cornellever/routing/service_pool_line.ipp
+++ b/src/cornellever/routing/service_pool_line.ipp
@@ -6,7 +6,7 @@
 
 template <link_connector Connector>
 asio::awaitable<typename service_pool<Connector>::lease> service_pool<Connector>::acquire(connection_want want) {
-    m_used = true;
+    note_use();
     if (auto* found = grab(want); found != nullptr) {
         co_return lease{*this, *found};
     }
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -214,10 +214,11 @@
 
 template <link_connector Connector>
 void service_pool<Connector>::tick() {
+    const auto now = boot_clock::now();
+    give_back_unused(now);
     if (!m_used) {
         return;
     }
-    const auto now = boot_clock::now();
     for (auto& [id, at] : m_entries) {
         if (at->held() == 0 && now >= at->open_after && !at->draining_since) {
             open_one(*at);
--- a/src/cornellever/session/conversation.hpp
+++ b/src/cornellever/session/conversation.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "cornellever/core/boot_clock.hpp"
 #include "cornellever/session/session_state.hpp"
 #include "cornellever/session/statement_engine.hpp"
 #include "cornellever/sql/reply.hpp"
@@ -33,6 +34,7 @@
     /// the other proxy went away.
     std::unique_ptr<Relay> peer{};
     std::string name{};
+    boot_clock::time_point opened_at{};
     /// Where the caller's session stands.
     sql::transaction_state state{sql::transaction_state::idle};
     /// A BEGIN that the caller was answered and the peer has not been sent.
@@ -63,9 +65,7 @@
     relayed_part<typename Connector::relay> elsewhere{};
 
     /// Whether the caller has no transaction open.
-    [[nodiscard]] bool between_operations() const {
-        return !open && elsewhere.state == sql::transaction_state::idle;
-    }
+    [[nodiscard]] bool between_operations() const { return !open && elsewhere.state == sql::transaction_state::idle; }
 };
 
 } // namespace cornellever::session
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -106,6 +106,7 @@
     void watch_paths();
     void close_cut_off();
     void place_session(conversation& with);
+    [[nodiscard]] bool doubted(const part_elsewhere& part) const;
     [[nodiscard]] std::vector<proxy_place> peers_for(const conversation& with);
     asio::awaitable<bool> reach_peer(conversation& with);
     [[nodiscard]] std::optional<sql::reply> note_for_peer(conversation& with, const sql::request& asked);
@@ -132,14 +133,15 @@
 
     /// A session without a transaction may rest as long as it likes.
     static constexpr std::chrono::hours resting_limit{24};
-    /// A proxy that is well takes a connection in a round trip.
-    static constexpr std::chrono::milliseconds owner_limit{300};
+    /// A connection is taken by the VM itself, in a round trip.
+    static constexpr std::chrono::milliseconds owner_limit{100};
     /// Other proxies that are tried for one operation: its caller waits
     /// meanwhile, and aims at 120 ms.
     static constexpr std::size_t peer_tries = 2;
-    /// One that took no session, or ended it, comes last for so long: a process
-    /// that was stopped is back after a second or two.
-    static constexpr std::chrono::milliseconds unreached_for{2000};
+    /// One that took no session, or ended it, comes last for so long. A process
+    /// that was stopped is back sooner, but the others serve meanwhile; one
+    /// behind a cut path costs a caller `owner_limit` at each try.
+    static constexpr std::chrono::milliseconds unreached_for{5000};
     /// From the start of the process: twice what the slowest of 88 small VMs
     /// took to load 1,346 databases after all had been started together
     /// (0.48 s). Callers give up an opening after 2 s.
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -126,8 +126,8 @@
     } else {
         return false;
     }
-    log_event(event::session_refused, "database=" + opening.database + " reason=" + reason +
-                                          " config=" + std::to_string(m_config.version));
+    log_event(event::session_refused,
+              "database=" + opening.database + " reason=" + reason + " config=" + std::to_string(m_config.version));
     caller.close();
     return true;
 }
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -18,6 +18,9 @@
     } else if (!ways_round(with.state.database, 0).empty()) {
         place = served_by::way_round;
     }
+    if (doubted(with.elsewhere)) {
+        with.elsewhere.close();
+    }
     if (place == with.where) {
         return;
     }
@@ -29,6 +32,14 @@
     with.where = place;
 }
 
+/// Whether the proxy that a session is open at has failed another session
+/// since: each of them would wait for it by itself.
+template <routing::link_connector Connector>
+bool traffic<Connector>::doubted(const part_elsewhere& part) const {
+    const auto found = m_unreached.find(part.name);
+    return part.peer != nullptr && found != m_unreached.end() && found->second > part.opened_at;
+}
+
 /// The other proxies that may run a session's next operation, in the order in
 /// which they are tried.
 template <routing::link_connector Connector>
@@ -63,6 +74,7 @@
         if (opened != nullptr) {
             with.elsewhere.peer = std::move(opened);
             with.elsewhere.name = peer.name;
+            with.elsewhere.opened_at = boot_clock::now();
             for (auto& item : statements_of(with.state)) {
                 (void)with.elsewhere.peer->pass_on({std::string{replay_id}, std::move(item)});
             }
@@ -234,8 +246,8 @@
     auto out = unanswered_by_owner(asked, part.state, changes && why != routing::link_failure::not_sent);
     const bool unknown = !out.ok() && out.why() == sql::refusal::outcome_unknown;
     log_event(unknown ? event::outcome_unknown : event::request_refused,
-              "request=" + asked.id + " database=" + with.state.database + " reason=owner_gone answer=" +
-                  std::string{out.ok() ? "rolled_back" : sql::to_string(out.why())});
+              "request=" + asked.id + " database=" + with.state.database +
+                  " reason=owner_gone answer=" + std::string{out.ok() ? "rolled_back" : sql::to_string(out.why())});
     part.state = out.state;
     co_return out;
 }
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -27,7 +27,8 @@
         const auto& shared = share_of(name);
         // One that was an owner until now still serves the sessions it has.
         const auto sharers = shared.owners.empty() ? m_proxies.size() : shared.owners.size();
-        backends->set_budget(shared.owns(m_name) ? shared.connections_each : 1, sharers);
+        const bool owned = shared.owns(m_name);
+        backends->set_budget(owned ? shared.connections_each : 1, sharers, owned);
     }
 }
 
