--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -97,6 +97,12 @@
     m_last_heartbeat = now;
     auto message = message_now(peer_message::kind::question);
     message.nonce = ++m_last_nonce;
+    if (m_members.counted() > few_proxies_watch) {
+        // Whoever shares a service asks as well, and hears it in the answer: the
+        // same in the question was a fifth of the bytes of heartbeats.
+        message.reports = false;
+        message.primaries.clear();
+    }
     m_questions[message.nonce] = {now};
     while (m_questions.size() > remembered_questions) {
         m_questions.erase(m_questions.begin());
--- a/src/cornellever/cluster/membership.cpp
+++ b/src/cornellever/cluster/membership.cpp
@@ -35,6 +35,7 @@
     const bool risen = item.incarnation != message.incarnation;
     if (risen) {
         item.earlier_incarnation = item.incarnation;
+        item.primaries.clear();
     }
     item.address = from;
     item.data_center = message.data_center;
@@ -45,7 +46,7 @@
     item.config_version = message.config_version;
     item.registry_version = message.registry_version;
     item.store_reachable = message.store_reachable;
-    if (counted_from >= item.reported_at) {
+    if (counted_from >= item.reported_at && message.reports) {
         item.primaries = message.primaries;
         item.reported_at = counted_from;
     }
--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -140,7 +140,7 @@
         take(std::ranges::find(rest, data_center, &peer::data_center));
         take(rest.begin());
         for (std::size_t i = 0; i < doubted_at_once; ++i) {
-            take(std::ranges::find_if(rest, [now](const auto* item) { return now - item->alive_at > doubted_after; }));
+            take(std::ranges::find_if(rest, [now](const auto* item) { return is_doubted(*item, now); }));
         }
         return out;
     }
@@ -182,6 +182,14 @@
     }
 
 private:
+    /// Whether a proxy is to be asked since no word of it came; two or three
+    /// times, and then no more: many may be behind a cut path.
+    [[nodiscard]] static bool is_doubted(const peer& item, time_point now) {
+        constexpr std::chrono::milliseconds asked_for{1500};
+        return now - item.alive_at > doubted_after &&
+               (item.unanswered_since == time_point{} || now - item.unanswered_since < asked_for);
+    }
+
     [[nodiscard]] static bool failed_to_answer(const peer& item, time_point now) {
         return item.unanswered_since != time_point{} && now - item.unanswered_since > answers_within;
     }
--- a/src/cornellever/cluster/peer_message.cpp
+++ b/src/cornellever/cluster/peer_message.cpp
@@ -15,6 +15,9 @@
 /// Stands before the list of other proxies; no service has this name.
 constexpr std::string_view others_mark = "/";
 
+/// Stands in place of the reports where the message has none.
+constexpr std::string_view no_reports = "~";
+
 /// Stands for an age that the sender does not know.
 constexpr std::string_view no_age = "-";
 
@@ -183,6 +186,9 @@
     write_age(out, message.config_age);
     write_age(out, message.registry_age);
     out.number(message.store_reachable ? 1 : 0);
+    if (!message.reports) {
+        out.word(no_reports);
+    }
     for (const auto& item : message.primaries) {
         write_report(out, item);
     }
@@ -217,6 +223,10 @@
     out.config_age = words.optional_age();
     out.registry_age = words.optional_age();
     out.store_reachable = words.number() != 0;
+    if (words.good() && words.next() == no_reports) {
+        out.reports = false;
+        (void)words.word();
+    }
     while (words.good() && !words.done() && words.next() != others_mark) {
         out.primaries.push_back(read_report(words));
     }
--- a/src/cornellever/cluster/peer_message.hpp
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -61,6 +61,9 @@
     std::optional<std::chrono::milliseconds> registry_age{};
     /// Whether the store answers the sender.
     bool store_reachable{true};
+    /// Whether the message tells what the sender saw of primaries; it may have
+    /// seen none.
+    bool reports{true};
     std::vector<primary_report> primaries{};
     /// A few others: with many proxies, each pair talks only now and then.
     std::vector<heard_peer> heard{};
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -19,6 +19,11 @@
 /// at a time and queues sixteen.
 constexpr std::size_t useful_connections = 24;
 
+/// Owners of one service's connections. The loss of one moves an eighth of the
+/// sessions; more owners only send more statements at a time to servers that
+/// run two, and more heartbeats, since each asks all others.
+constexpr std::size_t most_owners = 8;
+
 /// With fewer proxies than this a relay's extra hop costs more than a second
 /// connection each brings.
 constexpr std::size_t few_proxies = 12;
@@ -35,7 +40,7 @@
         return {{}, each};
     }
     const auto usable = std::min(routing::shared_connections(limit), useful_connections);
-    const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, proxies.size());
+    const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, std::min(proxies.size(), most_owners));
     std::map<std::string_view, std::vector<const proxy_place*>> by_place;
     for (const auto& item : proxies) {
         by_place[item.data_center].push_back(&item);
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -157,6 +157,23 @@
     BOOST_TEST((back->heard[0].age == 40ms));
 }
 
+// A primary is judged lost by proxies that hear it: a question without reports
+// was taken for the word that its sender sees no primary.
+BOOST_AUTO_TEST_CASE(a_question_without_reports_leaves_what_was_reported) {
+    using namespace cornellever::cluster;
+    membership members{"b"};
+    const asio::ip::udp::endpoint where{asio::ip::make_address("10.0.0.1"), 7000};
+    peer_message answer{.what = peer_message::kind::answer, .sender = "a", .incarnation = 1};
+    answer.primaries.push_back({.service = "stock", .primary = "p"});
+    members.hear(answer, where, start, start);
+    peer_message question{.sender = "a", .incarnation = 1, .reports = false};
+    const auto back = decode(encode(question));
+    BOOST_TEST_REQUIRE(back.has_value());
+    BOOST_TEST(!back->reports);
+    members.hear(*back, where, start + 1s, start + 1s);
+    BOOST_TEST(members.peers().at("a").primaries.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(anything_else_is_not_a_message) {
     for (const auto* bytes :
          {"", "cl3", "cl2 q 1 7 a d 1 1 1 - - 1", "cl3 x 1 7 a d 1 1 1 - - 1", "cl3 q one 7 a d 1 1 1 - - 1",
