--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -100,9 +100,13 @@
         }
     }
 
+    /// Whether this proxy has the table, from the store or from a peer.
+    [[nodiscard]] bool has_copy(const watch_pace& pace) const {
+        return m_whole || pace.current_at != boot_clock::time_point{};
+    }
+
     [[nodiscard]] bool relies_on_peers(const watch_pace& pace) const {
-        const bool has_copy = m_whole || pace.current_at != boot_clock::time_point{};
-        if (pace.waits || !has_copy) {
+        if (pace.waits || !has_copy(pace)) {
             return false;
         }
         const auto now = boot_clock::now();
@@ -182,7 +186,8 @@
     /// Doubles with each failure and is spread, so that all proxies do not ask
     /// again in the same moment when the store returns.
     std::chrono::milliseconds next_pause() {
-        if (!m_pace().waits) {
+        const auto pace = m_pace();
+        if (!pace.waits && has_copy(pace)) {
             return spread(std::chrono::milliseconds{0}, return_spread);
         }
         const auto longest = std::min(first_pause * (1 << std::min(m_failures, 4)), longest_pause);
