--- a/src/cornellever/ctl/explain.cpp
+++ b/src/cornellever/ctl/explain.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "cornellever/ctl/log_line.hpp"
+
 namespace cornellever::ctl {
 
 namespace {
@@ -21,19 +23,6 @@
     return behind.empty() || behind.front() == ' ';
 }
 
-/// The time of a line, as the log writes it (date, T, clock time with milliseconds): it stands before the role,
-/// whatever a collector of logs wrote before it.
-std::string_view time_of(std::string_view line) {
-    constexpr std::size_t time_size = 23;
-    for (auto at = line.find('T'); at != std::string_view::npos; at = line.find('T', at + 1)) {
-        constexpr std::size_t date_size = 10;
-        if (at >= date_size && at + 13 <= line.size() && line[at - 3] == '-' && line[at + 3] == ':') {
-            return line.substr(at - date_size, time_size);
-        }
-    }
-    return {};
-}
-
 bool ends_request(std::string_view line) {
     return std::ranges::any_of(ending,
                                [&](std::string_view name) { return line.find(name) != std::string_view::npos; });
--- a/src/cornellever/ctl/main.cpp
+++ b/src/cornellever/ctl/main.cpp
@@ -14,6 +14,7 @@
 #include "cornellever/ctl/apply.hpp"
 #include "cornellever/ctl/explain.hpp"
 #include "cornellever/ctl/folder_base.hpp"
+#include "cornellever/ctl/losses.hpp"
 #include "cornellever/ctl/proxy_status.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/envelope.hpp"
@@ -164,17 +165,48 @@
     return ok;
 }
 
+/// A file's text; nothing, and a message, when it can't be read.
+std::optional<std::string> read_log(const std::string& name) {
+    std::ifstream file{name};
+    if (!file) {
+        std::fprintf(stderr, "%s: cannot be read\n", name.c_str());
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>{file}, {}};
+}
+
+/// Prints what requests were lost to, by place, reason and service, and how
+/// many in each second.
+int run_losses(std::span<const std::string> files) {
+    ctl::loss_table table;
+    for (const auto& name : files) {
+        const auto text = read_log(name);
+        if (!text) {
+            return usage;
+        }
+        table.take(*text);
+    }
+    std::printf("%8s %8s %8s  %-11s %-20s %s\n", "requests", "mean ms", "most ms", "place", "service", "reason");
+    for (const auto& [kind, count] : table.rows()) {
+        std::printf("%8llu %8lld %8lld  %-11s %-20s %s\n", static_cast<unsigned long long>(count.requests),
+                    count.waited_ms / static_cast<long long>(count.requests), count.longest_ms,
+                    std::string{to_string(kind.where)}.c_str(), kind.service.c_str(), kind.reason.c_str());
+    }
+    for (const auto& [second, count] : table.seconds()) {
+        std::printf("%s %llu\n", second.c_str(), static_cast<unsigned long long>(count.requests));
+    }
+    return ok;
+}
+
 /// Prints what the logs say of a request, and marks what decided it.
 int run_explain(const std::string& request, std::span<const std::string> files) {
     std::vector<ctl::request_line> lines;
     for (const auto& name : files) {
-        std::ifstream file{name};
-        if (!file) {
-            std::fprintf(stderr, "%s: cannot be read\n", name.c_str());
+        const auto text = read_log(name);
+        if (!text) {
             return usage;
         }
-        const std::string text{std::istreambuf_iterator<char>{file}, {}};
-        ctl::collect_lines(request, name, text, lines);
+        ctl::collect_lines(request, name, *text, lines);
     }
     if (lines.empty()) {
         std::printf("no line tells of request %s\n", request.c_str());
@@ -230,7 +262,8 @@
 int ctl_main(std::span<char*> args) {
     TCLAP::CmdLine cmd{"Operators' command line", ' ', "0.1"};
     TCLAP::UnlabeledValueArg<std::string> command{
-        "command", "check, apply, fetch, status, dump, call, explain or check-settings", true, "", "command", cmd};
+        "command", "check, apply, fetch, status, dump, call, explain, losses or check-settings", true, "", "command",
+        cmd};
     TCLAP::UnlabeledMultiArg<std::string> operands{"operands", "folder, or address [method [params]]", false, "operand",
                                                    cmd};
     TCLAP::ValueArg<std::string> platform{
@@ -255,6 +288,9 @@
     if (verb == "explain" && words.size() >= 2) {
         return run_explain(words[0], std::span{words}.subspan(1));
     }
+    if (verb == "losses" && !words.empty()) {
+        return run_losses(words);
+    }
     if (verb == "check-settings" && words.size() == 1) {
         return run_check_settings(words[0]);
     }
@@ -283,6 +319,7 @@
                          "       cornellever ctl status --platform IP:PORT [--proxy IP:PORT]\n"
                          "       cornellever ctl status --proxy IP:PORT [--proxy IP:PORT]  (role serve)\n"
                          "       cornellever ctl dump IP:PORT | call IP:PORT METHOD [JSON]\n"
+                         "       cornellever ctl losses LOG...\n"
                          "       cornellever ctl explain REQUEST LOG...\n"
                          "       cornellever ctl check-settings FILE\n");
     return usage;
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -7,7 +7,8 @@
                                                std::string_view reason) const {
     log_event(id, "request=" + run.request.id + " database=" + run.route.database + " service=" + run.route.service +
                       " server=" + std::string{server} + " reason=" + std::string{reason} +
-                      " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)));
+                      " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)) +
+                      " aim_ms=" + std::to_string(run.route.target_latency.count()));
 }
 
 /// What a log lacked, beside how far it has come.
@@ -93,12 +94,13 @@
     const auto now = boot_clock::now();
     const auto* newest = backends.floor().newest();
     log_event(event::request_served,
-              "request=" + run.request.id + " database=" + run.route.database + " server=" + held.server().id +
-                  " floor=" + (floor ? sql::to_string(*floor) : "lead") +
+              "request=" + run.request.id + " database=" + run.route.database + " service=" + run.route.service +
+                  " server=" + held.server().id + " floor=" + (floor ? sql::to_string(*floor) : "lead") +
                   " sample_ms=" + (newest == nullptr ? "-" : std::to_string(to_ms(now - newest->asked_at))) +
                   " in_flight=" + std::to_string(held->home->in_flight) + " waiting=" +
                   std::to_string(backends.waiting()) + " ran_ms=" + std::to_string(to_ms(now - held->sent_at)) +
-                  " age_ms=" + std::to_string(to_ms(now - run.arrival)));
+                  " age_ms=" + std::to_string(to_ms(now - run.arrival)) +
+                  " aim_ms=" + std::to_string(run.route.target_latency.count()));
 }
 
 /// A connection, or the refusal to answer with.
