--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -301,4 +301,52 @@
     BOOST_TEST(here.find("closed") == std::string::npos);
 }
 
+// A reservation is late by a second: the owner that its session goes to is
+// behind a cut path. Connections to it open, and nothing is answered. Nothing
+// was sent there that could have run, so that another owner may run it.
+BOOST_AUTO_TEST_CASE(a_write_goes_to_another_owner_when_the_first_is_silent) {
+    event_loop io;
+    test::wire_server primary{io, "stock", "p", true};
+    auto servers = test::three_servers();
+    servers.servers.erase("r1");
+    servers.servers.erase("r2");
+    servers.servers["p"].address = primary.address();
+    auto config = test::three_databases();
+    config.services["stock"].max_connections = 8;
+    listening_proxy entry{io, "a", 37341};
+    listening_proxy owner{io, "owner", 37342};
+    tcp::acceptor silent{io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
+    for (auto* proxy : {&entry, &owner}) {
+        proxy->host.update(config);
+        proxy->host.update(servers);
+    }
+    owner.host.set_proxies({{"owner", "here", owner.here}});
+    std::vector<session::proxy_place> places{{"a", "here", entry.here}};
+    for (int i = 0; i < 19; ++i) {
+        places.push_back({"p" + std::to_string(i), "here", owner.here});
+    }
+    const auto order = session::relay_order(session::share_connections("stock", 8, places), "here", 1);
+    BOOST_TEST_REQUIRE(order.size() >= 2U);
+    for (auto& item : places) {
+        item.callers = item.name == order.front().name ? silent.local_endpoint() : item.callers;
+    }
+    entry.host.set_proxies(places);
+    const std::vector<std::string> lines{"STARTUP strict u1", "QUERY 1 SET lang fj", "QUERY 2 WRITE oven sold"};
+    std::string transcript;
+    const auto begun = boot_clock::now();
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await talk(entry.here, lines, transcript);
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    io.abandon_pending();
+    BOOST_TEST(transcript.find("COMPLETE sig.") != std::string::npos, transcript);
+    // The write ran once; the value came as a statement of the owner's own.
+    BOOST_TEST(primary.callers_lines.size() == 1U);
+    BOOST_TEST((boot_clock::now() - begun < 600ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
