--- a/src/cornellever/ctl/losses.hpp
+++ b/src/cornellever/ctl/losses.hpp
@@ -50,7 +50,7 @@
     /// Most requests first.
     [[nodiscard]] std::vector<row> rows() const;
 
-    /// By second (`2026-01-31T08:15:00`), all kinds together; tries that another
+    /// By second, as the log writes it, all kinds together; tries that another
     /// one followed are left out.
     [[nodiscard]] const std::map<std::string, loss_count, std::less<>>& seconds() const noexcept { return m_seconds; }
 
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -243,39 +243,61 @@
     tcp::endpoint here;
 };
 
-/// A session over TCP to a primary, through as many proxies as `relayed` says.
-std::string played_transcript(const std::vector<std::string>& lines, bool relayed, std::uint16_t port) {
-    event_loop io;
-    test::wire_server primary{io, "stock", "p", true};
-    auto servers = test::three_servers();
-    servers.servers.erase("r1");
-    servers.servers.erase("r2");
-    servers.servers["p"].address = primary.address();
-    auto config = test::three_databases();
-    config.services["stock"].max_connections = 5;
-    listening_proxy entry{io, "a", port};
-    listening_proxy owner{io, "owner", static_cast<std::uint16_t>(port + 1)};
-    for (auto* proxy : {&entry, &owner}) {
-        proxy->host.update(config);
-        proxy->host.update(servers);
+/// A primary, a proxy that owns connections to it, and one before that; all on
+/// loopback.
+struct two_proxies {
+    two_proxies(std::size_t limit, std::uint16_t port)
+        : primary{io, "stock", "p", true}
+        , entry{io, "a", port}
+        , owner{io, "owner", static_cast<std::uint16_t>(port + 1)} {
+        auto servers = test::three_servers();
+        servers.servers.erase("r1");
+        servers.servers.erase("r2");
+        servers.servers["p"].address = primary.address();
+        auto config = test::three_databases();
+        config.services["stock"].max_connections = limit;
+        for (auto* proxy : {&entry, &owner}) {
+            proxy->host.update(config);
+            proxy->host.update(servers);
+        }
+        owner.host.set_proxies({{"owner", "here", owner.here}});
     }
-    owner.host.set_proxies({{"owner", "here", owner.here}});
-    std::vector<session::proxy_place> places{{"a", "here", entry.here}};
-    for (int i = 0; relayed && i < 19; ++i) {
-        places.push_back({"p" + std::to_string(i), "here", owner.here});
+
+    /// So many places, the entry's own first; all others are the owner's.
+    [[nodiscard]] std::vector<session::proxy_place> places(int count) const {
+        std::vector<session::proxy_place> out{{"a", "here", entry.here}};
+        for (int i = 1; i < count; ++i) {
+            out.push_back({"p" + std::to_string(i), "here", owner.here});
+        }
+        return out;
     }
-    entry.host.set_proxies(places);
-    std::string transcript;
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            co_await talk(entry.here, lines, transcript);
-            io.stop();
-        },
-        asio::detached);
-    io.run();
-    BOOST_TEST((owner.host.counters().sessions_opened > 0U) == relayed);
-    io.abandon_pending();
+
+    std::string play(const std::vector<std::string>& lines) {
+        std::string transcript;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                co_await talk(entry.here, lines, transcript);
+                io.stop();
+            },
+            asio::detached);
+        io.run();
+        io.abandon_pending();
+        return transcript;
+    }
+
+    event_loop io;
+    test::wire_server primary;
+    listening_proxy entry;
+    listening_proxy owner;
+};
+
+/// A session over TCP to a primary, through as many proxies as `relayed` says.
+std::string played_transcript(const std::vector<std::string>& lines, bool relayed, std::uint16_t port) {
+    two_proxies path{5, port};
+    path.entry.host.set_proxies(path.places(relayed ? 20 : 1));
+    auto transcript = path.play(lines);
+    BOOST_TEST((path.owner.host.counters().sessions_opened > 0U) == relayed);
     return transcript;
 }
 
@@ -305,47 +327,20 @@
 // behind a cut path. Connections to it open, and nothing is answered. Nothing
 // was sent there that could have run, so that another owner may run it.
 BOOST_AUTO_TEST_CASE(a_write_goes_to_another_owner_when_the_first_is_silent) {
-    event_loop io;
-    test::wire_server primary{io, "stock", "p", true};
-    auto servers = test::three_servers();
-    servers.servers.erase("r1");
-    servers.servers.erase("r2");
-    servers.servers["p"].address = primary.address();
-    auto config = test::three_databases();
-    config.services["stock"].max_connections = 8;
-    listening_proxy entry{io, "a", 37341};
-    listening_proxy owner{io, "owner", 37342};
-    tcp::acceptor silent{io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
-    for (auto* proxy : {&entry, &owner}) {
-        proxy->host.update(config);
-        proxy->host.update(servers);
-    }
-    owner.host.set_proxies({{"owner", "here", owner.here}});
-    std::vector<session::proxy_place> places{{"a", "here", entry.here}};
-    for (int i = 0; i < 19; ++i) {
-        places.push_back({"p" + std::to_string(i), "here", owner.here});
-    }
+    two_proxies path{8, 37341};
+    tcp::acceptor silent{path.io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
+    auto places = path.places(20);
     const auto order = session::relay_order(session::share_connections("stock", 8, places), "here", 1);
     BOOST_TEST_REQUIRE(order.size() >= 2U);
     for (auto& item : places) {
         item.callers = item.name == order.front().name ? silent.local_endpoint() : item.callers;
     }
-    entry.host.set_proxies(places);
-    const std::vector<std::string> lines{"STARTUP strict u1", "QUERY 1 SET lang fj", "QUERY 2 WRITE oven sold"};
-    std::string transcript;
+    path.entry.host.set_proxies(places);
     const auto begun = boot_clock::now();
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            co_await talk(entry.here, lines, transcript);
-            io.stop();
-        },
-        asio::detached);
-    io.run();
-    io.abandon_pending();
+    const auto transcript = path.play({"STARTUP strict u1", "QUERY 1 SET lang fj", "QUERY 2 WRITE oven sold"});
     BOOST_TEST(transcript.find("COMPLETE sig.") != std::string::npos, transcript);
     // The write ran once; the value came as a statement of the owner's own.
-    BOOST_TEST(primary.callers_lines.size() == 1U);
+    BOOST_TEST(path.primary.callers_lines.size() == 1U);
     BOOST_TEST((boot_clock::now() - begun < 600ms));
 }
 
