--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -192,7 +192,7 @@
     host.update(servers);
     host.set_proxies({{"a", "here", {}}, {"b", "here", {}}, {"c", "there", {}}});
     platform::caller_listener callers{io.get_executor(), host};
-    const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 37311};
+    const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 27311};
     BOOST_TEST_REQUIRE(callers.start(here).has_value());
     std::string transcript;
     const std::vector<std::string> strict{
@@ -317,8 +317,8 @@
         "QUERY 18 WRITE oven free", "QUERY 19 READ oven",      "QUERY 20 COMMIT",
         "QUERY 21 BEGIN",           "QUERY 22 BEGIN",          "QUERY 23 COMMIT",
         "QUERY 24 ROLLBACK",        "QUERY 25 READ oven"};
-    const auto here = played_transcript(lines, false, 37321);
-    const auto relayed = played_transcript(lines, true, 37331);
+    const auto here = played_transcript(lines, false, 27321);
+    const auto relayed = played_transcript(lines, true, 27331);
     BOOST_TEST(relayed == here);
     BOOST_TEST(here.find("closed") == std::string::npos);
 }
@@ -327,7 +327,7 @@
 // behind a cut path. Connections to it open, and nothing is answered. Nothing
 // was sent there that could have run, so that another owner may run it.
 BOOST_AUTO_TEST_CASE(a_write_goes_to_another_owner_when_the_first_is_silent) {
-    two_proxies path{8, 37341};
+    two_proxies path{8, 27341};
     tcp::acceptor silent{path.io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
     auto places = path.places(20);
     const auto order = session::relay_order(session::share_connections("stock", 8, places), "here", 1);
