--- /dev/null
+++ b/src/cornellever/accounts/directory.cpp
@@ -0,0 +1,33 @@
+#include "cornellever/accounts/directory.hpp"
+
+#include <utility>
+
+namespace cornellever::accounts {
+
+void directory::add(account item) {
+    auto name = item.name;
+    m_accounts.insert_or_assign(std::move(name), std::move(item));
+}
+
+void directory::add_key(const key_digest& key, std::string_view name) {
+    if (m_ambiguous.contains(key)) {
+        return;
+    }
+    const auto [at, added] = m_keys.try_emplace(key, name);
+    if (!added && at->second != name) {
+        m_keys.erase(at);
+        m_ambiguous.insert(key);
+    }
+}
+
+const account* directory::holder(const key_digest& key) const {
+    const auto found = m_keys.find(key);
+    return found == m_keys.end() ? nullptr : find(found->second);
+}
+
+const account* directory::find(std::string_view name) const {
+    const auto found = m_accounts.find(name);
+    return found == m_accounts.end() ? nullptr : &found->second;
+}
+
+} // namespace cornellever::accounts
--- /dev/null
+++ b/src/cornellever/accounts/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace cornellever::accounts {
+
+struct account;
+class configuration_lease;
+class directory;
+class gate;
+class key_digest;
+struct rate_limit;
+
+} // namespace cornellever::accounts
--- /dev/null
+++ b/src/cornellever/accounts/gate.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "cornellever/accounts/configuration_lease.hpp"
+#include "cornellever/accounts/directory.hpp"
+
+namespace cornellever::accounts {
+
+/// Whether a request may run.
+enum class permission {
+    granted,
+    /// Its key stands for no account: it never did, or was taken away.
+    unknown_key,
+    /// Nobody has said lately whether the key still stands for its account.
+    lease_ended,
+};
+
+[[nodiscard]] constexpr std::string_view to_string(permission what) noexcept {
+    switch (what) {
+    case permission::granted:
+        return "granted";
+    case permission::unknown_key:
+        return "unknown_key";
+    case permission::lease_ended:
+        return "lease_ended";
+    }
+    return "unknown";
+}
+
+/// Says whose a request is and whether it may run. Asked when a session opens,
+/// and again immediately before each statement is sent to a server.
+class gate {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// `who` is null where the request belongs to no account.
+    struct decision {
+        permission verdict{permission::granted};
+        const account* who{nullptr};
+
+        [[nodiscard]] bool granted() const noexcept { return verdict == permission::granted; }
+        [[nodiscard]] std::string_view account_name() const noexcept { return who == nullptr ? "" : who->name; }
+    };
+
+    explicit gate(configuration_lease lease = configuration_lease{}) : m_lease{lease} {}
+
+    void take(directory accounts) { m_accounts = std::move(accounts); }
+    void prove(time_point at) { m_lease.prove(at); }
+
+    /// `keyless` is whether the database is open to everybody.
+    [[nodiscard]] decision ask(bool keyless, const key_digest& key, time_point now) const {
+        if (keyless) {
+            return {};
+        }
+        const auto* who = m_accounts.holder(key);
+        if (who == nullptr) {
+            return {permission::unknown_key, nullptr};
+        }
+        return {m_lease.holds(now) ? permission::granted : permission::lease_ended, who};
+    }
+
+    [[nodiscard]] const directory& accounts() const noexcept { return m_accounts; }
+    [[nodiscard]] const configuration_lease& lease() const noexcept { return m_lease; }
+
+private:
+    directory m_accounts;
+    configuration_lease m_lease;
+};
+
+} // namespace cornellever::accounts
--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -39,8 +39,9 @@
     std::uint64_t incarnation{0};
     asio::ip::udp::endpoint heartbeats;
     tcp::endpoint peers;
-    /// Where this proxy takes callers; the others do on the same port.
-    tcp::endpoint callers;
+    /// Where this proxy takes sessions that others relay; the others do on the
+    /// same port.
+    tcp::endpoint sessions;
     std::vector<asio::ip::udp::endpoint> seeds;
     /// By `followed`: how proxies share the work of keeping up with a table.
     std::array<watch_plan, 2> watch;
@@ -93,7 +94,12 @@
     [[nodiscard]] watch_pace pace(followed what) const;
 
     /// The store said that this proxy's copy was current at that time.
-    void note_current(followed what, time_point at) { m_followed.at(place(what)).note_current(at); }
+    void note_current(followed what, time_point at) {
+        m_followed.at(place(what)).note_current(at);
+        tell_proof();
+    }
+
+    [[nodiscard]] bool has_configuration() const noexcept { return m_config.version != 0; }
 
     [[nodiscard]] const control_counts& counts() const noexcept { return m_counts; }
     [[nodiscard]] const peer_traffic& heard_from_peers() const noexcept { return m_peer_traffic; }
@@ -158,6 +164,7 @@
     [[nodiscard]] std::chrono::milliseconds turn_delay(const std::string& service) const;
     [[nodiscard]] bool suspicious() const;
     void share_budget();
+    void tell_proof();
 
     static constexpr std::string_view proxies_table = "proxies";
     /// The row of that table that holds `m_cluster`; no proxy has this name.
@@ -220,6 +227,8 @@
     /// By `followed`.
     std::array<table_news, 2> m_followed;
     std::function<bool()> m_store_reachable{[] { return true; }};
+    /// What the traffic side was last told of the configuration's age.
+    time_point m_proof_told{};
     time_point m_started{boot_clock::now()};
     time_point m_last_heartbeat{};
     time_point m_behind_since{};
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -7,7 +7,8 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 peer_message control<Store, Orders, Connector>::message_now(peer_message::kind what) const {
     const auto now = boot_clock::now();
-    const auto age = [now](time_point at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
+    // Rounded up: what is proved by an age must not look younger than it is.
+    const auto age = [now](time_point at) { return std::chrono::ceil<std::chrono::milliseconds>(now - at); };
     const auto age_of = [&](followed table) -> std::optional<std::chrono::milliseconds> {
         const auto at = m_followed.at(place(table)).current_at();
         return at == time_point{} ? std::nullopt : std::optional{age(at)};
@@ -182,7 +183,7 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::take_reports(const peer_message& message, const asio::ip::udp::endpoint& from,
                                                      time_point counted_from) {
-    const session::proxy_place peer{message.sender, message.data_center, {from.address(), m_settings.callers.port()}};
+    const session::proxy_place peer{message.sender, message.data_center, {from.address(), m_settings.sessions.port()}};
     std::vector<peer_sight> seen;
     for (const auto& item : message.primaries) {
         peer_sight sight{.service = item.service,
--- a/src/cornellever/cluster/control_tables.ipp
+++ b/src/cornellever/cluster/control_tables.ipp
@@ -57,6 +57,19 @@
     };
     hear(followed::configuration, message.config_version, message.config_age);
     hear(followed::servers, message.registry_version, message.registry_age);
+    tell_proof();
+}
+
+/// Tells the traffic side how far it may rely on its configuration. It comes
+/// behind the configuration itself, so that a proof never counts for an older
+/// copy than the one it was given for.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::tell_proof() {
+    const auto at = m_followed.at(place(followed::configuration)).current_at();
+    if (at > m_proof_told) {
+        m_proof_told = at;
+        m_bridge.prove_configuration(at);
+    }
 }
 
 /// Whether this proxy is one of the two of its data centre that fetch from
--- a/src/cornellever/cluster/snapshot.cpp
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -20,6 +20,7 @@
     out["target_ms"] = static_cast<Json::Int64>(route.target_latency.count());
     out["staleness_ms"] = static_cast<Json::Int64>(route.max_staleness.count());
     out["priority"] = route.priority;
+    out["keyless"] = route.keyless;
     return out;
 }
 
@@ -34,6 +35,45 @@
     out.target_latency = ms_field(from, "target_ms");
     out.max_staleness = ms_field(from, "staleness_ms");
     out.priority = static_cast<int>(rpc::whole_field(from, "priority", routing::lowest_priority).value_or(0));
+    // Without word of it a database is not open to everybody.
+    out.keyless = from["keyless"].isBool() && from["keyless"].asBool();
+    return out;
+}
+
+Json::Value to_json(const accounts::account& item) {
+    Json::Value out;
+    out["name"] = item.name;
+    out["priority"] = item.priority;
+    if (item.limit) {
+        out["per_second"] = item.limit->per_second;
+        out["burst"] = item.limit->burst;
+    }
+    return out;
+}
+
+accounts::account account_from(const Json::Value& from) {
+    accounts::account out{.name = text_field(from, "name")};
+    out.priority = static_cast<int>(rpc::whole_field(from, "priority", routing::lowest_priority).value_or(0));
+    if (from["per_second"].isNumeric() && from["burst"].isNumeric()) {
+        out.limit = accounts::rate_limit{from["per_second"].asDouble(), from["burst"].asDouble()};
+    }
+    return out;
+}
+
+/// Keys travel as their digests. One that stands for two accounts is left out,
+/// as it stands for none.
+result<accounts::directory> accounts_from(const Json::Value& items, const Json::Value& keys) {
+    accounts::directory out;
+    for (const auto& item : items) {
+        out.add(account_from(item));
+    }
+    for (const auto& item : keys) {
+        const auto digest = accounts::key_digest::parse(text_field(item, "digest"));
+        if (!digest) {
+            return fail(errc::bad_request, "a key without its digest");
+        }
+        out.add_key(*digest, text_field(item, "account"));
+    }
     return out;
 }
 
@@ -77,6 +117,15 @@
         item["synchronous_replicas"] = limits.synchronous_replicas;
         out["services"].append(std::move(item));
     }
+    for (const auto& [name, item] : config.accounts.all()) {
+        out["accounts"].append(to_json(item));
+    }
+    for (const auto& [digest, name] : config.accounts.keys()) {
+        Json::Value item;
+        item["digest"] = digest.text();
+        item["account"] = name;
+        out["keys"].append(std::move(item));
+    }
 }
 
 } // namespace
@@ -88,6 +137,8 @@
     out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
     out["routes"] = Json::arrayValue;
     out["services"] = Json::arrayValue;
+    out["accounts"] = Json::arrayValue;
+    out["keys"] = Json::arrayValue;
     if (config.version > known_config_version) {
         append_details(config, out);
     }
@@ -100,7 +151,8 @@
 }
 
 result<proxy_snapshot> snapshot_from_json(const Json::Value& from) {
-    if (!from.isObject() || !from["routes"].isArray() || !from["services"].isArray() || !from["servers"].isArray()) {
+    if (!from.isObject() || !from["routes"].isArray() || !from["services"].isArray() || !from["accounts"].isArray() ||
+        !from["keys"].isArray() || !from["servers"].isArray()) {
         return fail(errc::bad_request, "not a snapshot");
     }
     proxy_snapshot out;
@@ -117,6 +169,11 @@
         limits.synchronous_replicas = static_cast<int>(rpc::whole_field(item, "synchronous_replicas", 1).value_or(0));
         out.config.services.insert_or_assign(limits.service, std::move(limits));
     }
+    auto listed = accounts_from(from["accounts"], from["keys"]);
+    if (!listed) {
+        return std::unexpected{listed.error()};
+    }
+    out.config.accounts = std::move(*listed);
     out.servers.version = uint_field(from, "registry_version");
     for (const auto& item : from["servers"]) {
         auto server = server_from(item);
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -25,8 +25,9 @@
 template <metadata_store Store>
 class table_follower {
 public:
-    /// Takes the rows, and the version of the last change to any of them.
-    using on_change = std::function<void(const table_rows& rows, std::uint64_t version)>;
+    /// Takes the rows, and the version of the last change to any of them; whether
+    /// it could.
+    using on_change = std::function<bool(const table_rows& rows, std::uint64_t version)>;
     /// Takes the moment of which the store said that the copy was current.
     using on_current = std::function<void(boot_clock::time_point at)>;
 
@@ -54,8 +55,9 @@
             auto got = co_await ask(wait);
             if (got) {
                 note_answer();
+                const bool changes = !got->rows.empty();
                 take(std::move(*got));
-                note_current(wait);
+                note_current(changes ? std::chrono::milliseconds{0} : wait);
                 continue;
             }
             if (got.error().code == errc::behind) {
@@ -125,11 +127,16 @@
     }
 
     /// An answer says how things were when the store gave it: after the question
-    /// came, and where it waited for changes, after the wait.
+    /// came, and where it waited for changes in vain, after the wait. One that
+    /// brings changes was given as soon as there were any, however late it comes.
     void note_current(std::chrono::milliseconds waited) {
         const auto now = boot_clock::now();
         m_current_at = std::max(m_current_at, now - m_asked_at >= waited ? m_asked_at + waited : m_asked_at);
-        m_current(m_current_at);
+        // Rows that could not be taken leave an older copy in force, which must
+        // not count as current.
+        if (m_taken) {
+            m_current(m_current_at);
+        }
     }
 
     void take(store_rows got) {
@@ -150,18 +157,19 @@
         }
         m_version = std::max(m_version, got.version);
         if (changed) {
-            tell();
+            m_taken = tell();
         }
     }
 
     /// Rows that somebody wrote must not end the loop that follows them: were
     /// an exception to leave it, this proxy would never learn of a change again.
-    void tell() {
+    bool tell() {
         try {
-            m_changed(m_rows, m_last_change);
+            return m_changed(m_rows, m_last_change);
         } catch (const std::exception& problem) {
             log_event(event::table_not_taken, "table=" + m_table + " version=" + std::to_string(m_version) +
                                                   " reason=\"" + problem.what() + "\"");
+            return false;
         }
     }
 
@@ -211,6 +219,7 @@
     /// before, although nothing in it is.
     std::uint64_t m_last_change{0};
     bool m_whole{false};
+    bool m_taken{false};
     int m_failures{0};
     boot_clock::time_point m_asked_at{};
     /// Of when the store last said that the copy was current.
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -50,6 +50,10 @@
         asio::post(m_executor, [this, value = std::move(value)]() mutable { m_host.update(std::move(value)); });
     }
 
+    void prove_configuration(boot_clock::time_point at) {
+        asio::post(m_executor, [this, at] { m_host.prove_configuration(at); });
+    }
+
     void set_proxies(std::vector<session::proxy_place> places) {
         asio::post(m_executor, [this, places = std::move(places)]() mutable { m_host.set_proxies(std::move(places)); });
     }
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -54,6 +54,7 @@
     request_served = 1314,
     answer_overdue = 1315,
     session_relayed = 1316,
+    request_forbidden = 1317,
     lines_dropped = 1320,
     backend_write = 1401,
     backend_shipped = 1402,
--- a/src/cornellever/routing/backend_link.hpp
+++ b/src/cornellever/routing/backend_link.hpp
@@ -4,6 +4,7 @@
 #include <expected>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -51,11 +52,14 @@
 
 /// Opens connections to backend servers.
 template <typename T>
-concept link_connector = requires(T connector, const backend_server& server, boot_clock::time_point until) {
+concept link_connector = requires(T connector, const backend_server& server, const std::string& account,
+                                  boot_clock::time_point until) {
     typename T::link;
     requires backend_link<typename T::link>;
+    /// The server is told the account whose statements will come; an empty one
+    /// is the proxy itself.
     {
-        connector.open(server, until)
+        connector.open(server, account, until)
         } -> std::same_as<asio::awaitable<std::expected<std::unique_ptr<typename T::link>, connect_failure>>>;
     /// What an answer to `statement_kind::status` says; nothing for a refusal.
     { T::status_of(sql::reply{}) } -> std::same_as<std::optional<sql::server_status>>;
--- a/src/cornellever/routing/model.hpp
+++ b/src/cornellever/routing/model.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cornellever/accounts/directory.hpp"
 #include "cornellever/core/asio.hpp"
 
 namespace cornellever::routing {
@@ -31,6 +32,8 @@
     std::chrono::milliseconds max_staleness{0};
     /// 0 is served first.
     int priority{0};
+    /// Open to callers without a key.
+    bool keyless{true};
 };
 
 /// A replicated database service.
@@ -47,6 +50,8 @@
     std::uint64_t version{0};
     std::map<std::string, database_route, std::less<>> routes;
     std::map<std::string, service_limits, std::less<>> services;
+    /// Whose key is whose; empty where nobody needs one.
+    accounts::directory accounts;
     /// A transaction whose caller is silent for longer may be ended.
     std::chrono::milliseconds transaction_idle{0};
 };
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cornellever/core/boot_clock.hpp"
@@ -24,6 +25,11 @@
 struct pooled_slot {
     std::unique_ptr<Link> connection;
     pool_entry<Link>* home{nullptr};
+    /// The server was told this account when the connection was opened, and
+    /// takes all statements on it for that account's; empty for the proxy's own.
+    std::string account{};
+    /// When it was last handed back.
+    boot_clock::time_point used_at{};
     session::connection_memory memory;
     /// In use by a request, or by the pool's own housekeeping.
     bool busy{false};
@@ -86,8 +92,9 @@
 
     backend_server server;
     std::vector<std::unique_ptr<pooled_slot<Link>>> slots;
-    /// Connections being opened.
+    /// Connections being opened, and for whom where it is for an account.
     std::size_t opening{0};
+    std::vector<std::string> opening_for;
     /// No connection is opened before that: the last try failed.
     time_point open_after{};
     int failed_opens{0};
@@ -117,6 +124,31 @@
         return found == slots.end() ? nullptr : found->get();
     }
 
+    /// The connection that has been idle for longest among those of other
+    /// accounts; null when there is none.
+    [[nodiscard]] pooled_slot<Link>* least_used_of_others(std::string_view account) const {
+        pooled_slot<Link>* out = nullptr;
+        for (const auto& item : slots) {
+            if (!item->busy && item->account != account && (out == nullptr || item->used_at < out->used_at)) {
+                out = item.get();
+            }
+        }
+        return out;
+    }
+
+    /// Connections of an account that can run a statement, or will.
+    [[nodiscard]] std::size_t useful_of(std::string_view account) const {
+        const auto open = std::ranges::count_if(
+            slots, [&](const auto& item) { return item->account == account && !item->resting && !item->overdue; });
+        return static_cast<std::size_t>(open + std::ranges::count(opening_for, account));
+    }
+
+    /// Idle connections of an account.
+    [[nodiscard]] std::size_t idle_of(std::string_view account) const {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(slots, [&](const auto& item) { return !item->busy && item->account == account; }));
+    }
+
     [[nodiscard]] std::size_t idle() const {
         return static_cast<std::size_t>(std::ranges::count_if(slots, [](const auto& item) { return !item->busy; }));
     }
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -36,6 +36,8 @@
     /// The position that another server's log needs to have.
     std::optional<sql::log_position> floor{};
     const session::session_state* session{nullptr};
+    /// For whom the connection has to have been opened.
+    std::string account{};
     int priority{0};
     boot_clock::time_point until{};
     /// Servers that failed this request before.
@@ -250,7 +252,7 @@
     void close_idle(entry& at);
     [[nodiscard]] bool suits(const connection_want& want, const entry& at, time_point now) const;
     [[nodiscard]] slot* grab(const connection_want& want);
-    [[nodiscard]] slot* best_idle(entry& at, const connection_want& want) const;
+    [[nodiscard]] slot* best_idle(const entry& at, const connection_want& want) const;
     void grow(const connection_want& want);
     [[nodiscard]] std::size_t statements_at_once(const entry& at) const {
         return statements_per_proxy(at.server.slots, m_proxies);
@@ -261,20 +263,26 @@
     void turn_away_overtaken(const waiter& by);
     void grant(waiter& next, slot& held);
     void offer(entry& at);
+    bool serve_one(entry& at, waiter& next);
     void replace_overdue(entry& at, time_point now);
     void note_use() {
         m_used = true;
         m_used_at = boot_clock::now();
     }
     void give_back_unused(time_point now);
-    [[nodiscard]] bool may_open(const entry& at, time_point now) const {
-        return now >= at.open_after && at.held() < m_budget + std::min(at.overdue(), m_budget);
+    [[nodiscard]] bool has_room(const entry& at) const {
+        return at.held() < m_budget + std::min(at.overdue(), m_budget);
     }
-    slot& add_slot(entry& at, std::unique_ptr<link> connection);
+    [[nodiscard]] bool may_open(const entry& at, time_point now) const { return now >= at.open_after && has_room(at); }
+    [[nodiscard]] bool may_open_for(const entry& at, std::string_view account, time_point now) const;
+    entry* place_opening(const connection_want& want);
+    void open_for_account(entry& at, const std::string& account);
+    void note_opened(entry& at, const std::string& account);
+    slot& add_slot(entry& at, std::unique_ptr<link> connection, std::string account);
     void learn_lead(slot& held, const sql::reply& from);
     void note_log_lost(slot& held, const sql::log_position& position);
-    void open_one(entry& at);
-    asio::awaitable<void> open(entry& at);
+    void open_one(entry& at, std::string account = {});
+    asio::awaitable<void> open(entry& at, std::string account);
     void take_back(slot& held);
     asio::awaitable<void> settle(slot& held);
     asio::awaitable<void> refresh(slot& held);
@@ -297,6 +305,9 @@
     /// asked for: a read may be 1.5 s old, and a lost primary has to be noticed.
     static constexpr std::chrono::milliseconds refresh_after{200};
     static constexpr std::chrono::milliseconds seek_period{40};
+    /// Connections being opened to one server at a time for accounts: each holds
+    /// one of the server's slots as long as a short statement.
+    static constexpr std::size_t most_openings = 2;
     /// A replica that is further behind than this is asked how far it is, so
     /// that reads return to it without one of them being refused first. Replicas
     /// apply a commit within 50 ms on average.
@@ -329,6 +340,8 @@
     time_point m_epoch{};
     bool m_seeking{false};
     bool m_used{false};
+    /// Requests of accounts came: connections are opened for one of them each.
+    bool m_named{false};
     time_point m_used_at{};
     bool m_owned{true};
     bool m_path_cut{false};
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -112,12 +112,12 @@
 }
 
 template <link_connector Connector>
-typename service_pool<Connector>::slot* service_pool<Connector>::best_idle(entry& at,
+typename service_pool<Connector>::slot* service_pool<Connector>::best_idle(const entry& at,
                                                                            const connection_want& want) const {
     slot* best = nullptr;
     std::size_t best_cost = 0;
     for (auto& item : at.slots) {
-        if (item->busy) {
+        if (item->busy || item->account != want.account) {
             continue;
         }
         auto cost = want.session == nullptr ? 0 : 2 * session::replay_cost(*want.session, item->memory);
@@ -146,14 +146,17 @@
         candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
                               .primary = primary,
                               .in_flight = item->in_flight,
-                              .idle = item->idle(),
+                              .idle = item->idle_of(want.account),
                               .typical = std::chrono::duration<double, std::milli>{item->typical.value(now)},
                               .replay = idle != nullptr && want.session != nullptr
                                             ? session::replay_cost(*want.session, idle->memory)
                                             : 0});
         at.push_back(item.get());
     }
-    const auto chosen = place_read(candidates, !want.primary && replica_could && m_budget > 1);
+    // An account has hardly more than one connection to a server, and keeping
+    // that for its writes would open another one elsewhere for each read.
+    const bool spare_primary = !want.primary && replica_could && m_budget > 1 && want.account.empty();
+    const auto chosen = place_read(candidates, spare_primary);
     if (!chosen) {
         return nullptr;
     }
@@ -164,6 +167,12 @@
 
 template <link_connector Connector>
 void service_pool<Connector>::grow(const connection_want& want) {
+    if (m_named) {
+        if (auto* at = place_opening(want); at != nullptr) {
+            open_for_account(*at, want.account);
+        }
+        return;
+    }
     const auto now = boot_clock::now();
     entry* best = nullptr;
     for (auto& [id, item] : m_entries) {
@@ -180,15 +189,66 @@
 }
 
 template <link_connector Connector>
-void service_pool<Connector>::open_one(entry& at) {
-    ++at.opening;
-    asio::co_spawn(m_executor, open(at), asio::detached);
+bool service_pool<Connector>::may_open_for(const entry& at, std::string_view account, time_point now) const {
+    // More connections of one account than statements that may run there at a
+    // time would only cost others theirs.
+    return now >= at.open_after && at.opening_for.size() < most_openings &&
+           at.useful_of(account) < statements_at_once(at) &&
+           (has_room(at) || at.least_used_of_others(account) != nullptr);
+}
+
+/// The server to which a connection for an account is best opened.
+template <link_connector Connector>
+typename service_pool<Connector>::entry* service_pool<Connector>::place_opening(const connection_want& want) {
+    const auto now = boot_clock::now();
+    std::vector<placement_candidate> candidates;
+    std::vector<entry*> at;
+    for (auto& [id, item] : m_entries) {
+        if (!suits(want, *item, now) || !may_open_for(*item, want.account, now)) {
+            continue;
+        }
+        candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
+                              .primary = id == m_primary,
+                              .in_flight = item->in_flight + item->opening,
+                              .idle = 1,
+                              .typical = std::chrono::duration<double, std::milli>{item->typical.value(now)}});
+        at.push_back(item.get());
+    }
+    const auto chosen = place_read(candidates, false);
+    return chosen ? at[*chosen] : nullptr;
 }
 
+/// Opens a connection for an account. Where this proxy's share of the server is
+/// used up, the connection that was idle for longest makes room: a server knows
+/// a connection's account from its opening on, so that it can't be handed over.
 template <link_connector Connector>
-asio::awaitable<void> service_pool<Connector>::open(entry& at) {
-    auto opened = co_await m_connector.open(at.server, boot_clock::now() + open_limit);
+void service_pool<Connector>::open_for_account(entry& at, const std::string& account) {
+    if (!has_room(at)) {
+        destroy(*at.least_used_of_others(account));
+    }
+    at.opening_for.push_back(account);
+    open_one(at, account);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::note_opened(entry& at, const std::string& account) {
     --at.opening;
+    const auto found = std::ranges::find(at.opening_for, account);
+    if (found != at.opening_for.end()) {
+        at.opening_for.erase(found);
+    }
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::open_one(entry& at, std::string account) {
+    ++at.opening;
+    asio::co_spawn(m_executor, open(at, std::move(account)), asio::detached);
+}
+
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::open(entry& at, std::string account) {
+    auto opened = co_await m_connector.open(at.server, account, boot_clock::now() + open_limit);
+    note_opened(at, account);
     const auto now = boot_clock::now();
     if (!opened) {
         const auto why = opened.error();
@@ -210,7 +270,7 @@
     }
     at.failed_opens = 0;
     at.heard_at = now;
-    auto& added = add_slot(at, std::move(*opened));
+    auto& added = add_slot(at, std::move(*opened), std::move(account));
     if (at.server.id == m_primary && !at.gone) {
         co_await refresh(added);
         co_return;
@@ -220,10 +280,12 @@
 
 /// Adds an open connection, in use.
 template <link_connector Connector>
-typename service_pool<Connector>::slot& service_pool<Connector>::add_slot(entry& at, std::unique_ptr<link> connection) {
+typename service_pool<Connector>::slot& service_pool<Connector>::add_slot(entry& at, std::unique_ptr<link> connection,
+                                                                          std::string account) {
     auto& added = *at.slots.emplace_back(std::make_unique<slot>());
     added.connection = std::move(connection);
     added.home = &at;
+    added.account = std::move(account);
     added.busy = true;
     return added;
 }
@@ -234,7 +296,7 @@
     if (!held.connection->usable()) {
         auto& at = *held.home;
         destroy(held);
-        if (!m_line.empty() && !at.gone && may_open(at, boot_clock::now())) {
+        if (!m_named && !m_line.empty() && !at.gone && may_open(at, boot_clock::now())) {
             open_one(at);
         }
         offer(at);
@@ -278,6 +340,7 @@
         return;
     }
     held.busy = false;
+    held.used_at = boot_clock::now();
     offer(at);
 }
 
--- a/src/cornellever/routing/service_pool_line.ipp
+++ b/src/cornellever/routing/service_pool_line.ipp
@@ -7,6 +7,7 @@
 template <link_connector Connector>
 asio::awaitable<typename service_pool<Connector>::lease> service_pool<Connector>::acquire(connection_want want) {
     note_use();
+    m_named = m_named || !want.account.empty();
     if (auto* found = grab(want); found != nullptr) {
         co_return lease{*this, *found};
     }
@@ -41,13 +42,39 @@
 template <link_connector Connector>
 void service_pool<Connector>::offer(entry& at) {
     const auto now = boot_clock::now();
-    while (!at.gone && at.any_idle() != nullptr && at.working() < statements_at_once(at)) {
-        auto* next = m_line.take_first([&](const waiter& item) { return suits(item.want, at, now); });
-        if (next == nullptr) {
+    auto& items = m_line.items();
+    for (auto place = items.begin(); place != items.end();) {
+        if (at.gone || at.working() >= statements_at_once(at)) {
             return;
         }
-        grant(*next, *best_idle(at, next->want));
+        waiter& next = **place;
+        ++place;
+        if (suits(next.want, at, now) && serve_one(at, next)) {
+            m_line.leave(next);
+        }
+    }
+}
+
+/// Grants a connection of its account to a waiter; whether one was idle. Where
+/// none is, one is opened for it in its turn, at the cost of one that is idle:
+/// else an account with many requests would take each connection that comes
+/// free, and one with few would wait for as long as that goes on.
+template <link_connector Connector>
+bool service_pool<Connector>::serve_one(entry& at, waiter& next) {
+    if (auto* idle = best_idle(at, next.want); idle != nullptr) {
+        grant(next, *idle);
+        return true;
+    }
+    const auto now = boot_clock::now();
+    const auto& account = next.want.account;
+    const bool under_way = std::ranges::any_of(m_entries, [&](const auto& item) {
+        const auto& opening = item.second->opening_for;
+        return std::ranges::find(opening, account) != opening.end() && suits(next.want, *item.second, now);
+    });
+    if (m_named && !under_way && may_open_for(at, account, now)) {
+        open_for_account(at, account);
     }
+    return false;
 }
 
 /// Another connection takes the place of one whose answer is overdue, for as
@@ -65,7 +92,7 @@
     offer(at);
     const auto wanted =
         std::ranges::any_of(m_line.items(), [&](const auto* item) { return suits(item->want, at, now); });
-    if (wanted && may_open(at, now)) {
+    if (!m_named && wanted && may_open(at, now)) {
         open_one(at);
     }
 }
@@ -95,7 +122,10 @@
     std::vector<lane_view> out;
     out.reserve(m_entries.size());
     for (const auto& [id, at] : m_entries) {
-        out.push_back({std::min(statements_at_once(*at), at->slots.size()),
+        // Where connections are opened for accounts, any but the first makes
+        // room for another within a handshake.
+        const auto connections = m_named && !at->slots.empty() ? m_budget : at->slots.size();
+        out.push_back({std::min(statements_at_once(*at), connections),
                        std::chrono::duration<double, std::milli>{at->typical.value(now)}});
     }
     return out;
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -133,7 +133,7 @@
     auto& at = *found->second;
     if (at.any_idle() == nullptr && may_open(at, boot_clock::now())) {
         ++at.opening;
-        co_await open(at);
+        co_await open(at, {});
     }
     // Opening may have taken a while: the server may be gone by now.
     const auto again = m_entries.find(id);
@@ -158,7 +158,7 @@
     slot* held = at.any_idle();
     if (held == nullptr) {
         ++at.opening;
-        auto opened = co_await m_connector.open(at.server, until);
+        auto opened = co_await m_connector.open(at.server, {}, until);
         --at.opening;
         if (!opened) {
             if (opened.error() == connect_failure::refused) {
@@ -167,7 +167,7 @@
             forget_if_empty(at);
             co_return std::unexpected{link_failure::not_sent};
         }
-        held = &add_slot(at, std::move(*opened));
+        held = &add_slot(at, std::move(*opened), {});
     }
     held->busy = true;
     std::vector<sql::command> batch;
@@ -197,7 +197,7 @@
         co_return false;
     }
     const auto server = found->second->server;
-    auto opened = co_await m_connector.open(server, until);
+    auto opened = co_await m_connector.open(server, {}, until);
     if (!opened) {
         co_return opened.error() == connect_failure::too_many_connections;
     }
@@ -225,6 +225,10 @@
         }
         watch_progress(*at, now);
         replace_overdue(*at, now);
+        if (m_named && !m_line.empty()) {
+            // An opening that failed is tried again.
+            offer(*at);
+        }
     }
     if (m_primary.empty()) {
         seek();
--- a/src/cornellever/session/caller.hpp
+++ b/src/cornellever/session/caller.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include "cornellever/accounts/key_digest.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/sql/reply.hpp"
@@ -20,6 +22,11 @@
     bool relayed{false};
     /// Of a relayed session: the position of its last commit at another proxy.
     std::optional<sql::log_position> last_commit{};
+    /// Stands for the caller's key.
+    accounts::key_digest key{};
+    /// Of a relayed session: the configuration by which the other proxy took
+    /// the key for good.
+    std::uint64_t config_version{0};
 };
 
 /// Input that is none of the protocol's.
--- a/src/cornellever/session/ownership.hpp
+++ b/src/cornellever/session/ownership.hpp
@@ -14,8 +14,8 @@
 struct proxy_place {
     std::string name;
     std::string data_center;
-    /// Where it takes callers' sessions.
-    tcp::endpoint callers;
+    /// Where it takes the sessions that others relay.
+    tcp::endpoint sessions;
 
     friend bool operator==(const proxy_place&, const proxy_place&) = default;
 };
--- a/src/cornellever/session/serve_settings.cpp
+++ b/src/cornellever/session/serve_settings.cpp
@@ -47,6 +47,24 @@
     return std::nullopt;
 }
 
+/// Left empty where there is no bound.
+std::optional<std::string> read_revocation(const std::string& value, serve_settings& out) {
+    constexpr long least_ms = 1000;
+    constexpr long longest_ms = 3'600'000;
+    out.revocation.reset();
+    if (value.empty()) {
+        return std::nullopt;
+    }
+    long ms = 0;
+    const auto* const end = value.data() + value.size();
+    const auto got = std::from_chars(value.data(), end, ms);
+    if (got.ec != std::errc{} || got.ptr != end || ms < least_ms || ms > longest_ms) {
+        return "must be whole milliseconds from 1000 to 3600000, or empty, not '" + value + "'";
+    }
+    out.revocation = std::chrono::milliseconds{ms};
+    return std::nullopt;
+}
+
 std::optional<std::string> read_first_start(const std::string& value, serve_settings& out) {
     if (value != "true" && value != "false") {
         return "must be true or false, not '" + value + "'";
@@ -78,13 +96,15 @@
         {"orders", address(&serve_settings::orders)},
         {"grace_s", read_grace},
         {"first_start", read_first_start},
+        {"revocation_ms", read_revocation},
         {"log_level", text(&serve_settings::log_level)},
         {"metrics", address(&serve_settings::metrics)},
     };
     return all;
 }
 
-const std::set<std::string, std::less<>> optional_keys{"seeds", "grace_s", "first_start", "log_level", "metrics"};
+const std::set<std::string, std::less<>> optional_keys{"seeds",         "grace_s",   "first_start",
+                                                       "revocation_ms", "log_level", "metrics"};
 
 } // namespace
 
@@ -132,8 +152,14 @@
         const auto key = std::string_view{out}.substr(out.rfind('\n') + 1);
         const bool word = key.starts_with("name") || key.starts_with("data_center");
         const bool number = key.starts_with("grace_s") || port;
+        const bool span = key.starts_with("revocation_ms");
         const bool flag = key.starts_with("first_start");
-        out += number ? "7" : before_port ? "10.0.0.1" : word ? "word" : flag ? "true" : "10.0.0.1:7000";
+        out += span          ? "5000"
+               : number      ? "7"
+               : before_port ? "10.0.0.1"
+               : word        ? "word"
+               : flag        ? "true"
+                             : "10.0.0.1:7000";
         text = text.substr(close + 2);
     }
     return out;
--- a/src/cornellever/session/serve_settings.hpp
+++ b/src/cornellever/session/serve_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,9 @@
     bool first_start{false};
     /// From SIGTERM until the process is killed.
     std::chrono::seconds grace{6};
+    /// By when a key that was taken away must be dead everywhere, also at proxies
+    /// that are cut off; nothing where those in touch are enough.
+    std::optional<std::chrono::milliseconds> revocation{};
     /// debug, info, warning or error.
     std::string log_level{"info"};
     /// Where counters and latencies are served as text; port 0: nowhere.
--- a/src/cornellever/session/session_state.hpp
+++ b/src/cornellever/session/session_state.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "cornellever/accounts/key_digest.hpp"
 #include "cornellever/sql/position.hpp"
 #include "cornellever/sql/statement.hpp"
 
@@ -21,6 +22,8 @@
 struct session_state {
     std::uint64_t id{0};
     std::string database;
+    /// Stands for the caller's key.
+    accounts::key_digest key{};
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, prepared_statement, std::less<>> prepared;
     /// The position of the session's last commit, which its later reads must
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cornellever/accounts/gate.hpp"
 #include "cornellever/core/scoped_count.hpp"
 #include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/service_pool.hpp"
@@ -19,6 +20,8 @@
 /// One statement on its way: what it is, and for whom.
 struct statement_run {
     const routing::database_route& route;
+    /// Whose the request is and whether it may still run.
+    const accounts::gate& gate;
     session_state& session;
     const sql::request& request;
     /// Set for `execute`: what the name stands for.
@@ -30,6 +33,9 @@
                (prepared != nullptr && prepared->touches == sql::access::write);
     }
     [[nodiscard]] boot_clock::time_point until() const { return arrival + route.statement_timeout; }
+    [[nodiscard]] accounts::gate::decision permitted() const {
+        return gate.ask(route.keyless, session.key, boot_clock::now());
+    }
 };
 
 /// Runs statements on backend servers: alone, or as part of a transaction that
@@ -71,6 +77,8 @@
 
     [[nodiscard]] static routing::time_limits limits_of(const statement_run& run);
     asio::awaitable<void> await_sample(pool& backends, const statement_run& run, bool needs_primary);
+    [[nodiscard]] std::optional<sql::reply> forbid(const statement_run& run, const accounts::gate::decision& may) const;
+    [[nodiscard]] std::optional<sql::reply> forbid_on(const statement_run& run, const lease& held) const;
     [[nodiscard]] std::optional<sql::reply> admit(pool& backends, const statement_run& run,
                                                   routing::connection_want& want);
     asio::awaitable<lease> connection_for(pool& backends, const statement_run& run, routing::connection_want& want,
@@ -88,6 +96,7 @@
     asio::awaitable<bool> pin(transaction& inside, const statement_run& run, sql::reply& refusal);
     asio::awaitable<bool> open_read_only(pool& backends, lease& held, const std::optional<sql::log_position>& floor,
                                          time_point until);
+    [[nodiscard]] std::optional<sql::reply> forbid_inside(transaction& inside, const statement_run& run);
     sql::reply fail_inside(transaction& inside, const statement_run& run, std::string_view reason);
     sql::reply finish_commit(transaction& inside, const statement_run& run, const routing::link_reply& got);
     [[nodiscard]] static sql::command command_of(const statement_run& run);
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -28,8 +28,15 @@
 asio::awaitable<bool> statement_engine<Connector>::pin(transaction& inside, const statement_run& run,
                                                        sql::reply& refusal) {
     auto& backends = *inside.backends;
+    const auto may = run.permitted();
+    if (auto forbidden = forbid(run, may)) {
+        refusal = std::move(*forbidden);
+        co_return false;
+    }
+    const std::string account{may.account_name()};
     co_await await_sample(backends, run, !inside.read_only);
     auto want = want_of(backends, run, !inside.read_only);
+    want.account = account;
     for (;;) {
         auto held = co_await connection_for(backends, run, want, refusal);
         if (!held) {
@@ -69,6 +76,21 @@
                    sql::transaction_state::failed);
 }
 
+/// Ends a transaction whose request may not run any more; nothing where it may.
+template <routing::link_connector Connector>
+std::optional<sql::reply> statement_engine<Connector>::forbid_inside(transaction& inside, const statement_run& run) {
+    auto forbidden = forbid_on(run, inside.pinned);
+    if (!forbidden) {
+        return std::nullopt;
+    }
+    const auto reason = forbidden->error_text();
+    undo(inside);
+    const bool commit = run.request.what.kind == sql::statement_kind::commit;
+    inside.failed = !commit;
+    return refused(sql::refusal::aborted, reason + "; nothing of the transaction is kept",
+                   commit ? sql::transaction_state::idle : sql::transaction_state::failed);
+}
+
 template <routing::link_connector Connector>
 sql::reply statement_engine<Connector>::finish_commit(transaction& inside, const statement_run& run,
                                                       const routing::link_reply& got) {
@@ -112,6 +134,9 @@
     }
     auto& held = inside.pinned;
     held->resting = false;
+    if (auto forbidden = forbid_inside(inside, run)) {
+        co_return *forbidden;
+    }
     const bool on_primary = held->armed;
     std::vector<sql::command> batch;
     for (auto& item : plan_replay(run.session, held->memory, run.prepared)) {
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "cornellever/accounts/gate.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
 #include "cornellever/routing/model.hpp"
@@ -31,11 +33,13 @@
     using pool = routing::service_pool<Connector>;
     using engine = statement_engine<Connector>;
 
-    traffic(asio::any_io_executor executor, Connector& connector, std::string name, std::string data_center)
+    traffic(asio::any_io_executor executor, Connector& connector, std::string name, std::string data_center,
+            accounts::configuration_lease lease = accounts::configuration_lease{})
         : m_executor{std::move(executor)}
         , m_connector{connector}
         , m_name{std::move(name)}
         , m_data_center{std::move(data_center)}
+        , m_gate{lease}
         , m_engine{m_counters}
         , m_configuration_due{m_executor, configuration_limit} {}
 
@@ -45,6 +49,9 @@
     /// Takes the registered backend servers.
     void update(routing::registry servers);
 
+    /// The configuration at hand, or an older one, was the newest at `at`.
+    void prove_configuration(boot_clock::time_point at) { m_gate.prove(at); }
+
     /// The proxies that share each server's connections, this one among them;
     /// none while they are not known yet.
     void set_proxies(std::vector<proxy_place> proxies);
@@ -84,6 +91,7 @@
 
     [[nodiscard]] std::size_t sessions() const noexcept { return m_sessions.size(); }
     [[nodiscard]] const routing::configuration& config() const noexcept { return m_config; }
+    [[nodiscard]] const accounts::gate& gate() const noexcept { return m_gate; }
     [[nodiscard]] const routing::registry& servers() const noexcept { return m_registry; }
     [[nodiscard]] const traffic_counters& counters() const noexcept { return m_counters; }
     [[nodiscard]] std::map<std::string, std::unique_ptr<pool>, std::less<>>& pools() noexcept { return m_pools; }
@@ -120,7 +128,11 @@
     asio::awaitable<sql::reply> relay(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> run_here(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> answer_where_placed(conversation& with, const sql::request& asked);
+    [[nodiscard]] std::optional<sql::statement_error> refusal_of(const session_opening& opening,
+                                                                 std::string& reason) const;
     [[nodiscard]] bool refuse_opening(const session_opening& opening, auto& caller);
+    [[nodiscard]] std::optional<sql::reply> refuse_key(conversation& with, const sql::request& asked);
+    asio::awaitable<void> await_version(std::uint64_t version);
     void count(const sql::reply& out, boot_clock::time_point arrival);
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
     asio::awaitable<sql::reply> run(conversation& with, const sql::request& asked);
@@ -148,6 +160,8 @@
     static constexpr std::chrono::milliseconds configuration_limit{1000};
     /// A caller gives up an opening after 2 s.
     static constexpr std::chrono::milliseconds proxies_limit{1000};
+    /// A configuration comes to all proxies within several heartbeats.
+    static constexpr std::chrono::milliseconds version_limit{300};
     /// A primary that others hear and this proxy does not, for so long, is cut
     /// off from it: it is asked five times a second at least, and a connection
     /// that the network gave up shows in 0.7 s.
@@ -168,6 +182,7 @@
     /// By service, worked out when first asked for.
     std::map<std::string, ownership, std::less<>> m_shares;
     traffic_counters m_counters;
+    accounts::gate m_gate;
     engine m_engine;
     /// Ends when a configuration is known, or is not expected any more.
     asio::steady_timer m_configuration_due;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -11,6 +11,7 @@
                                         " before=" + std::to_string(m_config.version) +
                                         " databases=" + std::to_string(config.routes.size()));
     m_config = std::move(config);
+    m_gate.take(m_config.accounts);
     m_configuration_due.cancel();
     for (auto& [name, backends] : m_pools) {
         backends->start_epoch(boot_clock::now());
@@ -110,28 +111,84 @@
     }
 }
 
-/// Refuses an opening that can't be served; whether it did.
+/// A proxy that relays a session may have heard of its caller's key before this
+/// one did.
 template <routing::link_connector Connector>
-bool traffic<Connector>::refuse_opening(const session_opening& opening, auto& caller) {
-    std::string reason;
-    if (!m_config.routes.contains(opening.database)) {
+asio::awaitable<void> traffic<Connector>::await_version(std::uint64_t version) {
+    const auto until = boot_clock::now() + version_limit;
+    while (m_config.version < version && boot_clock::now() < until) {
+        co_await sleep_for(std::chrono::milliseconds{20});
+    }
+}
+
+/// Why an opening can't be served; nothing where it can.
+template <routing::link_connector Connector>
+std::optional<sql::statement_error> traffic<Connector>::refusal_of(const session_opening& opening,
+                                                                   std::string& reason) const {
+    const auto route = m_config.routes.find(opening.database);
+    if (route == m_config.routes.end()) {
         const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
         reason = sql::to_string(why);
-        caller.refuse({why, opening.database});
-    } else if (opening.relayed && !ways_round(opening.database, 0).empty()) {
-        // The proxy that asks has others to try, and knows none of them to be
-        // any better than this one.
+        return sql::statement_error{why, opening.database};
+    }
+    const auto may = m_gate.ask(route->second.keyless, opening.key, boot_clock::now());
+    if (may.verdict == accounts::permission::unknown_key) {
+        reason = to_string(may.verdict);
+        return sql::statement_error{sql::refusal::unknown_key, "the key is not known"};
+    }
+    // The proxy that asks has others to try, and knows none of them to be any
+    // better than this one.
+    if (opening.relayed && !may.granted()) {
+        reason = to_string(may.verdict);
+        return sql::statement_error{sql::refusal::overloaded, "the configuration is not known to be current"};
+    }
+    if (opening.relayed && !ways_round(opening.database, 0).empty()) {
         reason = "path_cut";
-        caller.refuse({sql::refusal::overloaded, "the primary is out of reach"});
-    } else {
+        return sql::statement_error{sql::refusal::overloaded, "the primary is out of reach"};
+    }
+    return std::nullopt;
+}
+
+/// Refuses an opening that can't be served; whether it did.
+template <routing::link_connector Connector>
+bool traffic<Connector>::refuse_opening(const session_opening& opening, auto& caller) {
+    std::string reason;
+    const auto refusal = refusal_of(opening, reason);
+    if (!refusal) {
         return false;
     }
+    caller.refuse(*refusal);
     log_event(event::session_refused,
-              "database=" + opening.database + " reason=" + reason + " config=" + std::to_string(m_config.version));
+              "database=" + opening.database + " reason=" + reason + " key=" + opening.key.fingerprint() +
+                  " relayed=" + (opening.relayed ? "1" : "0") + " config=" + std::to_string(m_config.version));
     caller.close();
     return true;
 }
 
+/// A session whose key was taken away runs nothing more, wherever its
+/// statements run; nothing where the key still stands for an account.
+template <routing::link_connector Connector>
+std::optional<sql::reply> traffic<Connector>::refuse_key(conversation& with, const sql::request& asked) {
+    const auto route = m_config.routes.find(with.state.database);
+    const bool keyless = route != m_config.routes.end() && route->second.keyless;
+    const auto may = m_gate.ask(keyless, with.state.key, boot_clock::now());
+    if (may.verdict != accounts::permission::unknown_key) {
+        return std::nullopt;
+    }
+    log_event(event::request_forbidden, "request=" + asked.id + " database=" + with.state.database +
+                                            " reason=unknown_key key=" + with.state.key.fingerprint() +
+                                            " config=" + std::to_string(m_config.version));
+    const bool inside = !with.between_operations();
+    if (with.open) {
+        m_engine.undo(*with.open);
+        with.open.reset();
+    }
+    with.elsewhere.close();
+    with.elsewhere.state = sql::transaction_state::idle;
+    return refused(inside ? sql::refusal::aborted : sql::refusal::unknown_key, "the key is not known any more",
+                   sql::transaction_state::idle);
+}
+
 template <routing::link_connector Connector>
 template <caller_channel Caller>
 asio::awaitable<void> traffic<Connector>::serve(Caller caller) {
@@ -143,12 +200,14 @@
         co_return;
     }
     co_await await_configuration();
+    co_await await_version(opening->config_version);
     if (refuse_opening(*opening, caller)) {
         co_return;
     }
     conversation with;
     with.state.id = ++m_last_session;
     with.state.database = opening->database;
+    with.state.key = opening->key;
     with.state.last_commit = opening->last_commit;
     with.status.close_if_quiet = [&caller] { caller.close_if_quiet(); };
     with.relayed = opening->relayed;
@@ -170,6 +229,11 @@
         with.status.resting = false;
         if (const auto* asked = std::get_if<sql::request>(&happened)) {
             const auto arrival = boot_clock::now();
+            if (const auto taken = refuse_key(with, *asked)) {
+                count(*taken, arrival);
+                caller.send(*taken);
+                break;
+            }
             const sql::reply out = co_await answer_where_placed(with, *asked);
             count(out, arrival);
             caller.send(out);
@@ -313,10 +377,10 @@
         }
         // A copy: a newer configuration may replace it while the statement runs.
         const auto route = found->second;
-        const statement_run one{route, with.state, asked, prepared, arrival};
+        const statement_run one{route, m_gate, with.state, asked, prepared, arrival};
         co_return co_await m_engine.run_alone(pool_for(route.service), one);
     }
-    const statement_run one{with.open->route, with.state, asked, prepared, arrival};
+    const statement_run one{with.open->route, m_gate, with.state, asked, prepared, arrival};
     if (with.open->read_only && one.writes()) {
         m_engine.undo(*with.open);
         with.open->failed = true;
--- a/src/cornellever/session/traffic_counters.hpp
+++ b/src/cornellever/session/traffic_counters.hpp
@@ -10,7 +10,7 @@
 
 /// What the traffic side counts, for the metrics page and the state dump.
 struct traffic_counters {
-    static constexpr std::size_t refusals = 12;
+    static constexpr std::size_t refusals = 13;
 
     std::uint64_t sessions_opened{0};
     std::uint64_t statements_served{0};
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -69,8 +69,12 @@
     }
     const auto to = peers_for(with);
     for (const auto& peer : std::span{to}.first(std::min(to.size(), peer_tries))) {
-        auto opened = co_await m_connector.open_relay(peer.callers, with.state.database, with.state.last_commit,
-                                                      boot_clock::now() + owner_limit);
+        const session_opening asked{.database = with.state.database,
+                                    .relayed = true,
+                                    .last_commit = with.state.last_commit,
+                                    .key = with.state.key,
+                                    .config_version = m_config.version};
+        auto opened = co_await m_connector.open_relay(peer.sessions, asked, boot_clock::now() + owner_limit);
         if (opened != nullptr) {
             with.elsewhere.peer = std::move(opened);
             with.elsewhere.name = peer.name;
--- a/src/cornellever/sql/reply.cpp
+++ b/src/cornellever/sql/reply.cpp
@@ -20,6 +20,7 @@
     std::pair{refusal::malformed, std::string_view{"malformed"}},
     std::pair{refusal::no_such_database, std::string_view{"no_such_database"}},
     std::pair{refusal::no_such_prepared_statement, std::string_view{"no_such_prepared_statement"}},
+    std::pair{refusal::unknown_key, std::string_view{"unknown_key"}},
 };
 
 } // namespace
--- a/src/cornellever/sql/reply.hpp
+++ b/src/cornellever/sql/reply.hpp
@@ -24,6 +24,8 @@
     malformed,
     no_such_database,
     no_such_prepared_statement,
+    /// The caller's key stands for no account.
+    unknown_key,
 };
 
 /// Where a session or connection stands with regard to transactions.
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -191,7 +191,7 @@
     host.update(test::three_databases());
     host.update(servers);
     host.set_proxies({{"a", "here", {}}, {"b", "here", {}}, {"c", "there", {}}});
-    platform::caller_listener callers{io.get_executor(), host};
+    platform::caller_listener callers{io.get_executor(), host, platform::caller_side::callers};
     const tcp::endpoint here{asio::ip::make_address("127.0.0.1"), 27311};
     BOOST_TEST_REQUIRE(callers.start(here).has_value());
     std::string transcript;
@@ -229,10 +229,10 @@
 
 /// A proxy that takes callers on loopback.
 struct listening_proxy {
-    listening_proxy(event_loop& io, std::string name, std::uint16_t port)
+    listening_proxy(event_loop& io, std::string name, std::uint16_t port, platform::caller_side side)
         : connector{io.get_executor(), "proxy"}
         , host{io.get_executor(), connector, std::move(name), "here"}
-        , callers{io.get_executor(), host}
+        , callers{io.get_executor(), host, side}
         , here{asio::ip::make_address("127.0.0.1"), port} {
         BOOST_TEST_REQUIRE(callers.start(here).has_value());
     }
@@ -248,8 +248,8 @@
 struct two_proxies {
     two_proxies(std::size_t limit, std::uint16_t port)
         : primary{io, "stock", "p", true}
-        , entry{io, "a", port}
-        , owner{io, "owner", static_cast<std::uint16_t>(port + 1)} {
+        , entry{io, "a", port, platform::caller_side::callers}
+        , owner{io, "owner", static_cast<std::uint16_t>(port + 1), platform::caller_side::proxies} {
         auto servers = test::three_servers();
         servers.servers.erase("r1");
         servers.servers.erase("r2");
@@ -333,7 +333,7 @@
     const auto order = session::relay_order(session::share_connections("stock", 8, places), "here", 1);
     BOOST_TEST_REQUIRE(order.size() >= 2U);
     for (auto& item : places) {
-        item.callers = item.name == order.front().name ? silent.local_endpoint() : item.callers;
+        item.sessions = item.name == order.front().name ? silent.local_endpoint() : item.sessions;
     }
     path.entry.host.set_proxies(places);
     const auto begun = boot_clock::now();
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -393,6 +393,7 @@
                                      },
                                      [&](const cluster::table_rows& rows, std::uint64_t) {
                                          seen_rows.emplace_back(rows.size(), rows.at("a").value);
+                                         return true;
                                      }};
     asio::co_spawn(io, follower.run(), asio::detached);
     io.run();
@@ -431,12 +432,14 @@
     store.feeds.push_back(cluster::store_rows{{{"a", "2", 9, false}}, 9, 0ms});
     bool turn = false;
     std::vector<std::uint64_t> versions;
-    cluster::table_follower follower{
-        store, "t",
-        [&] {
-            return cluster::watch_pace{std::exchange(turn, true), 1h};
-        },
-        [&](const cluster::table_rows&, std::uint64_t version) { versions.push_back(version); }};
+    cluster::table_follower follower{store, "t",
+                                     [&] {
+                                         return cluster::watch_pace{std::exchange(turn, true), 1h};
+                                     },
+                                     [&](const cluster::table_rows&, std::uint64_t version) {
+                                         versions.push_back(version);
+                                         return true;
+                                     }};
     asio::co_spawn(io, follower.run(), asio::detached);
     io.run();
     // The version of the last change, not that of the store.
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -11,6 +11,7 @@
 
 #include "cornellever/routing/backend_link.hpp"
 #include "cornellever/routing/model.hpp"
+#include "cornellever/session/caller.hpp"
 #include "cornellever/session/session_state.hpp"
 
 namespace cornellever::test {
@@ -25,6 +26,8 @@
     sql::statement_kind kind{sql::statement_kind::begin};
     std::string text;
     bool in_transaction{false};
+    /// For whom the connection was opened.
+    std::string account{};
     std::map<std::string, std::string, std::less<>> values;
 };
 
@@ -62,7 +65,10 @@
 /// A connection to a fake server (routing::backend_link).
 class fake_link {
 public:
-    explicit fake_link(fake_server& server) : m_server{server}, m_number{++server.connections} {}
+    explicit fake_link(fake_server& server, std::string account = {})
+        : m_server{server}
+        , m_number{++server.connections}
+        , m_account{std::move(account)} {}
 
     asio::awaitable<routing::link_reply> exchange(const std::vector<sql::command>& batch, std::size_t wanted,
                                                   boot_clock::time_point until) {
@@ -113,7 +119,7 @@
 private:
     void run(const sql::command& what) {
         m_server.met.push_back({m_number, m_batch, what.request_id, what.what.kind, what.what.text,
-                                m_state == sql::transaction_state::open, m_values});
+                                m_state == sql::transaction_state::open, m_account, m_values});
         m_owed.push_back(answer(what));
         if (!what.request_id.empty() && m_server.lose_answers > 0) {
             --m_server.lose_answers;
@@ -183,6 +189,7 @@
 
     fake_server& m_server;
     int m_number;
+    std::string m_account;
     int m_batch{0};
     std::vector<sql::reply> m_owed;
     sql::reply m_last;
@@ -254,25 +261,25 @@
     /// Sessions at other proxies by their port: what they answer.
     std::map<unsigned short, fake_owner> owners;
 
-    asio::awaitable<std::unique_ptr<fake_relay>>
-    open_relay(tcp::endpoint owner, std::string, std::optional<sql::log_position> last_commit, boot_clock::time_point) {
+    asio::awaitable<std::unique_ptr<fake_relay>> open_relay(tcp::endpoint owner, session::session_opening opening,
+                                                            boot_clock::time_point) {
         const auto found = owners.find(owner.port());
         if (found == owners.end()) {
             co_return nullptr;
         }
-        found->second.opened_after.push_back(last_commit);
+        found->second.opened_after.push_back(opening.last_commit);
         co_return std::make_unique<fake_relay>(found->second);
     }
 
     std::map<std::string, fake_server> servers;
 
     asio::awaitable<std::expected<std::unique_ptr<fake_link>, routing::connect_failure>>
-    open(const routing::backend_server& server, boot_clock::time_point) {
+    open(const routing::backend_server& server, std::string account, boot_clock::time_point) {
         auto& found = servers[server.id];
         if (found.connect_fails) {
             co_return std::unexpected{*found.connect_fails};
         }
-        co_return std::make_unique<fake_link>(found);
+        co_return std::make_unique<fake_link>(found, std::move(account));
     }
 
     static std::optional<sql::server_status> status_of(const sql::reply&) { return std::nullopt; }
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -33,7 +33,7 @@
         host.set_proxies(places(20));
         const auto shared = session::share_connections("stock", limit, places(20));
         for (const auto& item : session::relay_order(shared, "here", 1)) {
-            owners.push_back(&connector.owners[item.callers.port()]);
+            owners.push_back(&connector.owners[item.sessions.port()]);
         }
         owner = owners.front();
     }
@@ -387,7 +387,7 @@
     BOOST_TEST_REQUIRE(shared.owners.size() == 1U);
     BOOST_TEST_REQUIRE(!shared.owns("a"));
     proxy.host.set_proxies(places(20));
-    auto& owner = proxy.connector.owners[shared.owners.front().callers.port()];
+    auto& owner = proxy.connector.owners[shared.owners.front().sessions.port()];
     owner.answers = 3;
     caller_script caller{.events = {opening("strict"), ask("r", statement_kind::read, "1"),
                                     ask("b", statement_kind::begin), ask("w", statement_kind::write, "1 x"),
@@ -527,7 +527,7 @@
     config.services["stock"].max_connections = 5;
     proxy.host.update(config);
     const auto shared = session::share_connections("stock", 5, places(20));
-    auto& owner = proxy.connector.owners[shared.owners.front().callers.port()];
+    auto& owner = proxy.connector.owners[shared.owners.front().sessions.port()];
     caller_script caller{
         .events = {opening("strict"), ask("a", statement_kind::read, "1"), ask("b", statement_kind::read, "1")}};
     caller.before[2] = [&] { proxy.host.set_proxies(places(20)); };
--- a/tests/unit/store_watch.cpp
+++ b/tests/unit/store_watch.cpp
@@ -73,11 +73,15 @@
     small_store store;
     cluster::watch_pace pace{.waits = false, .span = 300ms};
     std::vector<std::uint64_t> versions;
+    /// Whether the rows can be decoded.
+    bool takes{true};
     boot_clock::time_point current_at{};
-    cluster::table_follower<small_store> follower{
-        store, "t", [this] { return pace; },
-        [this](const cluster::table_rows&, std::uint64_t version) { versions.push_back(version); },
-        [this](boot_clock::time_point at) { current_at = at; }};
+    cluster::table_follower<small_store> follower{store, "t", [this] { return pace; },
+                                                  [this](const cluster::table_rows&, std::uint64_t version) {
+                                                      versions.push_back(version);
+                                                      return takes;
+                                                  },
+                                                  [this](boot_clock::time_point at) { current_at = at; }};
 };
 
 } // namespace
@@ -208,4 +212,15 @@
     BOOST_TEST(of("claims", store_purpose::claim) == 1U);
 }
 
+// A key that was taken away goes on working: the operators' change could not be
+// decoded, and the proxy took its older copy for current because the store had
+// answered.
+BOOST_AUTO_TEST_CASE(rows_that_were_not_taken_prove_nothing) {
+    followed_table table;
+    table.takes = false;
+    table.play(100ms);
+    BOOST_TEST(table.versions.size() == 1U);
+    BOOST_TEST((table.current_at == boot_clock::time_point{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
