Limits of accounts over all proxies: fixed shares at eight coordinators

An account's limit is shared out among up to eight proxies (rendezvous hashing), each of which grants operations from a bucket of its own. They never speak to each other, so the sum stays within the bound whoever is cut off, and the loss of one costs its share, not the account. A proxy asks for each operation at its start, before it waits for anything. One that takes another's place waits for 5 s first; one without a lease on its configuration grants nothing. After a start of all, each holds 0.3 of the slack: all may start twice in a window.

Ways weighed, not played: an equal share for each of 84 proxies (an account of 2 operations a second could run one in 40 s at each); one owner an account (it has to be replaced, and two that each take themselves for it grant twice).

--- a/src/cornellever/accounts/configuration_lease.hpp
+++ b/src/cornellever/accounts/configuration_lease.hpp
@@ -32,7 +32,7 @@
     /// How long ago the copy was the newest.
     [[nodiscard]] std::chrono::nanoseconds age(time_point now) const { return now - m_proven_at; }
 
-    [[nodiscard]] bool bounded() const noexcept { return m_bound.has_value(); }
+    [[nodiscard]] bool proven() const noexcept { return m_proven_at != time_point{}; }
 
 private:
     /// Clocks that run at different rates, ages that were rounded, and the way of
--- a/src/cornellever/accounts/directory.hpp
+++ b/src/cornellever/accounts/directory.hpp
@@ -24,7 +24,7 @@
 /// A client account. Backend servers are told its name, never a key.
 struct account {
     std::string name;
-    /// 0 is served first, before the priority of the request counts.
+    /// 0 is served first, among requests of the same priority.
     int priority{0};
     /// Nothing where the account may send what it likes.
     std::optional<rate_limit> limit{};
--- a/src/cornellever/accounts/gate.hpp
+++ b/src/cornellever/accounts/gate.hpp
@@ -42,6 +42,7 @@
         const account* who{nullptr};
 
         [[nodiscard]] bool granted() const noexcept { return verdict == permission::granted; }
+        [[nodiscard]] int account_priority() const noexcept { return who == nullptr ? 0 : who->priority; }
         [[nodiscard]] std::string_view account_name() const noexcept { return who == nullptr ? "" : who->name; }
     };
 
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -55,6 +55,7 @@
     answer_overdue = 1315,
     session_relayed = 1316,
     request_forbidden = 1317,
+    limit_refused = 1318,
     lines_dropped = 1320,
     backend_write = 1401,
     backend_shipped = 1402,
--- a/src/cornellever/routing/model.hpp
+++ b/src/cornellever/routing/model.hpp
@@ -19,6 +19,13 @@
 /// Priorities go from 0, which is served first, to this.
 inline constexpr int lowest_priority = 1'000'000;
 
+/// The place of a request in a line: by its database's priority, and among equal
+/// ones by its account's. What callers ask for urgently is not put behind what a
+/// more important account does in passing.
+[[nodiscard]] constexpr std::int64_t priority_of(int request, int account) noexcept {
+    return std::int64_t{request} * (std::int64_t{lowest_priority} + 1) + account;
+}
+
 /// A database that callers may name, and the replicated service behind it.
 struct database_route {
     std::string database;
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -38,7 +38,8 @@
     const session::session_state* session{nullptr};
     /// For whom the connection has to have been opened.
     std::string account{};
-    int priority{0};
+    /// The request's, and among equal ones its account's: see `priority_of`.
+    std::int64_t priority{0};
     boot_clock::time_point until{};
     /// Servers that failed this request before.
     std::vector<std::string> avoid{};
@@ -239,7 +240,7 @@
 
     struct waiter {
         connection_want want;
-        int priority{0};
+        std::int64_t priority{0};
         time_point until{};
         asio::steady_timer timer;
         slot* granted{nullptr};
--- a/src/cornellever/routing/waiting_line.hpp
+++ b/src/cornellever/routing/waiting_line.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <iterator>
 #include <list>
@@ -43,7 +44,7 @@
     [[nodiscard]] const std::list<T*>& items() const noexcept { return m_items; }
 
     /// How many items would be served before one of this priority and time.
-    [[nodiscard]] std::size_t place_of(int priority, boot_clock::time_point until) const {
+    [[nodiscard]] std::size_t place_of(std::int64_t priority, boot_clock::time_point until) const {
         const auto behind = std::ranges::find_if(m_items, [&](const auto* item) {
             return item->priority != priority ? priority < item->priority : until < item->until;
         });
--- a/src/cornellever/session/describe.hpp
+++ b/src/cornellever/session/describe.hpp
@@ -56,6 +56,12 @@
     into.counter("cornellever_reads_total", "", counted.reads_on_primary, {{"role", "primary"}});
     into.counter("cornellever_transactions_total", "Transactions opened by callers.", counted.transactions_opened);
     into.counter("cornellever_transactions_undone_total", "Transactions rolled back.", counted.transactions_undone);
+    into.counter("cornellever_limit_refusals_total", "Operations refused for their account's limit, by cause.",
+                 counted.over_limit, {{"cause", "used_up"}});
+    into.counter("cornellever_limit_refusals_total", "", counted.limit_unknown, {{"cause", "no_coordinator"}});
+    into.gauge("cornellever_configuration_proof_age_milliseconds",
+               "Since the configuration was last known to be the newest; -1 when never.",
+               host.gate().lease().proven() ? static_cast<double>(to_ms(host.gate().lease().age(now))) : -1.0);
     for (std::size_t i = 0; i < traffic_counters::refusals; ++i) {
         into.counter("cornellever_refused_total", i == 0 ? "Statements answered with an error, by cause." : "",
                      counted.refused.at(i), {{"cause", std::string{sql::to_string(static_cast<sql::refusal>(i))}}});
--- /dev/null
+++ b/src/cornellever/session/operation_limits.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cornellever/accounts/directory.hpp"
+#include "cornellever/core/asio.hpp"
+#include "cornellever/limits/limiter.hpp"
+#include "cornellever/session/ownership.hpp"
+
+namespace cornellever::session {
+
+/// How the traffic side has operations counted; both empty where no limits are
+/// kept.
+struct operation_limits {
+    /// Has one operation of an account granted.
+    std::function<asio::awaitable<limits::limit_verdict>(std::string account, accounts::rate_limit limit)> admit{};
+    /// Takes the proxies that there are.
+    std::function<void(const std::vector<proxy_place>& proxies)> set_proxies{};
+};
+
+} // namespace cornellever::session
--- a/src/cornellever/session/serve_settings.cpp
+++ b/src/cornellever/session/serve_settings.cpp
@@ -1,6 +1,7 @@
 #include "cornellever/session/serve_settings.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <optional>
@@ -65,6 +66,41 @@
     return std::nullopt;
 }
 
+std::optional<std::string> read_limits(const std::string& value, serve_settings& out) {
+    tcp::endpoint where;
+    if (!parse_endpoint(value, where)) {
+        return "must be IP:PORT, not '" + value + "'";
+    }
+    out.limits = {where.address(), where.port()};
+    return std::nullopt;
+}
+
+/// Reads a number from `least` to `most` into a field; `what` names its unit.
+std::optional<std::string> read_number(const std::string& value, double least, double most, std::string_view what,
+                                       double& into) {
+    const auto* const end = value.data() + value.size();
+    const auto got = std::from_chars(value.data(), end, into);
+    if (got.ec != std::errc{} || got.ptr != end || into < least || into > most) {
+        return "must be " + std::string{what} + ", not '" + value + "'";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> read_limit_window(const std::string& value, serve_settings& out) {
+    double seconds = 0.0;
+    auto wrong = read_number(value, 0.1, 3600.0, "seconds from 0.1 to 3600", seconds);
+    out.limit_bound.window = std::chrono::milliseconds{std::llround(seconds * 1000.0)};
+    return wrong;
+}
+
+std::optional<std::string> read_limit_overage(const std::string& value, serve_settings& out) {
+    return read_number(value, 0.0, 10.0, "a part from 0 to 10", out.limit_bound.overage);
+}
+
+std::optional<std::string> read_limit_slack(const std::string& value, serve_settings& out) {
+    return read_number(value, 0.0, 1e6, "operations from 0 to 1000000", out.limit_bound.slack);
+}
+
 std::optional<std::string> read_first_start(const std::string& value, serve_settings& out) {
     if (value != "true" && value != "false") {
         return "must be true or false, not '" + value + "'";
@@ -97,14 +133,19 @@
         {"grace_s", read_grace},
         {"first_start", read_first_start},
         {"revocation_ms", read_revocation},
+        {"limits", read_limits},
+        {"limit_window_s", read_limit_window},
+        {"limit_overage", read_limit_overage},
+        {"limit_slack", read_limit_slack},
         {"log_level", text(&serve_settings::log_level)},
         {"metrics", address(&serve_settings::metrics)},
     };
     return all;
 }
 
-const std::set<std::string, std::less<>> optional_keys{"seeds",         "grace_s",   "first_start",
-                                                       "revocation_ms", "log_level", "metrics"};
+const std::set<std::string, std::less<>> optional_keys{"seeds",     "grace_s",        "first_start",   "revocation_ms",
+                                                       "limits",    "limit_window_s", "limit_overage", "limit_slack",
+                                                       "log_level", "metrics"};
 
 } // namespace
 
@@ -147,19 +188,26 @@
             out += text.substr(open);
             break;
         }
+        // Marks of a section stand for nothing: what is between them is kept.
+        const auto tag = text.substr(open + 2, close - open - 2);
+        if (tag.starts_with('#') || tag.starts_with('/') || tag.starts_with('^')) {
+            text = text.substr(close + 2);
+            continue;
+        }
         const bool before_port = text.substr(close + 2).starts_with(":");
         const bool port = out.ends_with(":");
         const auto key = std::string_view{out}.substr(out.rfind('\n') + 1);
         const bool word = key.starts_with("name") || key.starts_with("data_center");
         const bool number = key.starts_with("grace_s") || port;
         const bool span = key.starts_with("revocation_ms");
+        const bool part = key.starts_with("limit_");
         const bool flag = key.starts_with("first_start");
-        out += span          ? "5000"
-               : number      ? "7"
-               : before_port ? "10.0.0.1"
-               : word        ? "word"
-               : flag        ? "true"
-                             : "10.0.0.1:7000";
+        out += span             ? "5000"
+               : number || part ? "7"
+               : before_port    ? "10.0.0.1"
+               : word           ? "word"
+               : flag           ? "true"
+                                : "10.0.0.1:7000";
         text = text.substr(close + 2);
     }
     return out;
--- a/src/cornellever/session/serve_settings.hpp
+++ b/src/cornellever/session/serve_settings.hpp
@@ -8,6 +8,7 @@
 
 #include "cornellever/core/asio.hpp"
 #include "cornellever/ini/document.hpp"
+#include "cornellever/limits/limit_share.hpp"
 
 namespace cornellever::session {
 
@@ -37,6 +38,11 @@
     /// By when a key that was taken away must be dead everywhere, also at proxies
     /// that are cut off; nothing where those in touch are enough.
     std::optional<std::chrono::milliseconds> revocation{};
+    /// Where other proxies ask for operations of the accounts whose limits this
+    /// one coordinates, by datagrams; port 0: no limits are kept.
+    asio::ip::udp::endpoint limits{};
+    /// What counts as over a limit.
+    limits::limit_bound limit_bound{};
     /// debug, info, warning or error.
     std::string log_level{"info"};
     /// Where counters and latencies are served as text; port 0: nowhere.
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -226,9 +226,11 @@
         co_return *forbidden;
     }
     const std::string account{may.account_name()};
+    const auto account_place = routing::priority_of(run.route.priority, may.account_priority());
     co_await await_sample(backends, run, run.writes());
     auto want = want_of(backends, run, run.writes());
     want.account = account;
+    want.priority = account_place;
     sql::reply out;
     for (;;) {
         auto held = co_await connection_for(backends, run, want, out);
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -34,9 +34,11 @@
         co_return false;
     }
     const std::string account{may.account_name()};
+    const auto account_place = routing::priority_of(run.route.priority, may.account_priority());
     co_await await_sample(backends, run, !inside.read_only);
     auto want = want_of(backends, run, !inside.read_only);
     want.account = account;
+    want.priority = account_place;
     for (;;) {
         auto held = co_await connection_for(backends, run, want, refusal);
         if (!held) {
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,10 +14,12 @@
 #include "cornellever/accounts/gate.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/stable_hash.hpp"
 #include "cornellever/routing/model.hpp"
 #include "cornellever/routing/service_pool.hpp"
 #include "cornellever/session/caller.hpp"
 #include "cornellever/session/conversation.hpp"
+#include "cornellever/session/operation_limits.hpp"
 #include "cornellever/session/ownership.hpp"
 #include "cornellever/session/primary_paths.hpp"
 #include "cornellever/session/relay.hpp"
@@ -56,6 +59,9 @@
     /// none while they are not known yet.
     void set_proxies(std::vector<proxy_place> proxies);
 
+    /// Has operations of accounts counted from now on.
+    void keep_limits(operation_limits how) { m_limits = std::move(how); }
+
     /// Another proxy heard the primary of a service at `heard_at`.
     void note_path(const std::string& service, const proxy_place& through, boot_clock::time_point heard_at) {
         m_paths.note(service, through, heard_at);
@@ -115,6 +121,7 @@
     void close_cut_off();
     void place_session(conversation& with);
     [[nodiscard]] bool doubted(const part_elsewhere& part) const;
+    [[nodiscard]] std::uint64_t turn_of(const conversation& with) const;
     [[nodiscard]] std::vector<proxy_place> peers_for(const conversation& with);
     asio::awaitable<bool> reach_peer(conversation& with);
     [[nodiscard]] std::optional<sql::reply> note_for_peer(conversation& with, const sql::request& asked);
@@ -132,6 +139,8 @@
                                                                  std::string& reason) const;
     [[nodiscard]] bool refuse_opening(const session_opening& opening, auto& caller);
     [[nodiscard]] std::optional<sql::reply> refuse_key(conversation& with, const sql::request& asked);
+    [[nodiscard]] static bool starts_operation(const conversation& with, const sql::request& asked);
+    asio::awaitable<std::optional<sql::reply>> refuse_over_limit(conversation& with, const sql::request& asked);
     asio::awaitable<void> await_version(std::uint64_t version);
     void count(const sql::reply& out, boot_clock::time_point arrival);
     asio::awaitable<sql::reply> answer(conversation& with, const sql::request& asked);
@@ -183,6 +192,7 @@
     std::map<std::string, ownership, std::less<>> m_shares;
     traffic_counters m_counters;
     accounts::gate m_gate;
+    operation_limits m_limits;
     engine m_engine;
     /// Ends when a configuration is known, or is not expected any more.
     asio::steady_timer m_configuration_due;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -170,8 +170,10 @@
 template <routing::link_connector Connector>
 std::optional<sql::reply> traffic<Connector>::refuse_key(conversation& with, const sql::request& asked) {
     const auto route = m_config.routes.find(with.state.database);
-    const bool keyless = route != m_config.routes.end() && route->second.keyless;
-    const auto may = m_gate.ask(keyless, with.state.key, boot_clock::now());
+    if (route == m_config.routes.end()) {
+        return std::nullopt;
+    }
+    const auto may = m_gate.ask(route->second.keyless, with.state.key, boot_clock::now());
     if (may.verdict != accounts::permission::unknown_key) {
         return std::nullopt;
     }
@@ -189,6 +191,53 @@
                    sql::transaction_state::idle);
 }
 
+/// Limits count operations: a statement by itself, or a transaction, which is
+/// refused at its start or not at all.
+template <routing::link_connector Connector>
+bool traffic<Connector>::starts_operation(const conversation& with, const sql::request& asked) {
+    if (with.relayed || !with.between_operations()) {
+        return false;
+    }
+    switch (asked.what.kind) {
+    case sql::statement_kind::begin:
+    case sql::statement_kind::begin_read_only:
+    case sql::statement_kind::read:
+    case sql::statement_kind::write:
+    case sql::statement_kind::execute:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Refuses an operation beyond its account's limit before it waits for anything
+/// or is sent anywhere, so that a flood costs other accounts nothing.
+template <routing::link_connector Connector>
+asio::awaitable<std::optional<sql::reply>> traffic<Connector>::refuse_over_limit(conversation& with,
+                                                                                 const sql::request& asked) {
+    const auto route = m_config.routes.find(with.state.database);
+    if (!m_limits.admit || route == m_config.routes.end()) {
+        co_return std::nullopt;
+    }
+    const auto may = m_gate.ask(route->second.keyless, with.state.key, boot_clock::now());
+    if (may.who == nullptr || !may.who->limit) {
+        co_return std::nullopt;
+    }
+    const auto account = may.who->name;
+    const auto verdict = co_await m_limits.admit(account, *may.who->limit);
+    if (verdict.what == limits::limit_verdict::kind::granted) {
+        co_return std::nullopt;
+    }
+    const bool used_up = verdict.what == limits::limit_verdict::kind::used_up;
+    ++(used_up ? m_counters.over_limit : m_counters.limit_unknown);
+    log_event(event::limit_refused, "request=" + asked.id + " database=" + with.state.database + " account=" + account +
+                                        " reason=" + (used_up ? "used_up" : "no_coordinator") +
+                                        " asked=" + std::to_string(verdict.asked) +
+                                        " wait_ms=" + std::to_string(verdict.wait.count()));
+    co_return refused_for_now(used_up ? "the account's limit is used up" : "the account's limit is not known",
+                              verdict.wait);
+}
+
 template <routing::link_connector Connector>
 template <caller_channel Caller>
 asio::awaitable<void> traffic<Connector>::serve(Caller caller) {
@@ -234,6 +283,17 @@
                 caller.send(*taken);
                 break;
             }
+            if (!with.relayed && m_proxies.empty()) {
+                co_await await_proxies();
+            }
+            if (starts_operation(with, *asked)) {
+                if (const auto over = co_await refuse_over_limit(with, *asked)) {
+                    count(*over, arrival);
+                    caller.send(*over);
+                    answered = true;
+                    continue;
+                }
+            }
             const sql::reply out = co_await answer_where_placed(with, *asked);
             count(out, arrival);
             caller.send(out);
@@ -263,9 +323,6 @@
 
 template <routing::link_connector Connector>
 asio::awaitable<sql::reply> traffic<Connector>::answer_where_placed(conversation& with, const sql::request& asked) {
-    if (!with.relayed && m_proxies.empty()) {
-        co_await await_proxies();
-    }
     place_session(with);
     if (with.where == served_by::itself) {
         co_return co_await answer(with, asked);
--- a/src/cornellever/session/traffic_counters.hpp
+++ b/src/cornellever/session/traffic_counters.hpp
@@ -19,6 +19,9 @@
     std::uint64_t statements_retried{0};
     std::uint64_t transactions_opened{0};
     std::uint64_t transactions_undone{0};
+    /// Operations beyond their accounts' limits, and those of which nobody knew.
+    std::uint64_t over_limit{0};
+    std::uint64_t limit_unknown{0};
     std::array<std::uint64_t, refusals> refused{};
     metrics::latency served_in;
     metrics::latency waited_for_connection;
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -40,6 +40,15 @@
     return part.peer != nullptr && found != m_unreached.end() && found->second > part.opened_at;
 }
 
+/// What spreads sessions over the owners. Those of an account go to the same
+/// ones: its connections to the servers lie at few proxies, and one that is open
+/// is more often of the right account.
+template <routing::link_connector Connector>
+std::uint64_t traffic<Connector>::turn_of(const conversation& with) const {
+    const auto* who = m_gate.accounts().holder(with.state.key);
+    return who == nullptr ? with.state.id : stable_hash({who->name});
+}
+
 /// The other proxies that may run a session's next operation, in the order in
 /// which they are tried.
 template <routing::link_connector Connector>
@@ -51,7 +60,7 @@
     if (with.where != served_by::owner || route == m_config.routes.end()) {
         return {};
     }
-    auto out = relay_order(share_of(route->second.service), m_data_center, with.state.id);
+    auto out = relay_order(share_of(route->second.service), m_data_center, turn_of(with));
     const auto now = boot_clock::now();
     std::ranges::stable_partition(out, [&](const proxy_place& item) {
         const auto found = m_unreached.find(item.name);
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -7,6 +7,9 @@
 template <routing::link_connector Connector>
 void traffic<Connector>::set_proxies(std::vector<proxy_place> proxies) {
     m_proxies = std::move(proxies);
+    if (m_limits.set_proxies) {
+        m_limits.set_proxies(m_proxies);
+    }
     share_connections_anew();
 }
 
--- a/tests/unit/accounts.cpp
+++ b/tests/unit/accounts.cpp
@@ -458,6 +458,11 @@
     BOOST_TEST(relayed.answers.at(0).ok());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_goes_before_a_less_urgent_one_of_a_more_important_account) {
+    BOOST_TEST(routing::priority_of(0, routing::lowest_priority) < routing::priority_of(1, 0));
+    BOOST_TEST(routing::priority_of(1, 0) < routing::priority_of(1, 1));
+}
+
 // Planted keys are looked for in all that a proxy tells: its state and metrics.
 BOOST_AUTO_TEST_CASE(no_key_shows_in_state_or_metrics) {
     proxy_with_accounts proxy;
