Connections of accounts: those that waiting requests can use stay, more under load

Four in five statements there opened a connection first, which holds a slot for 12 ms beside 24 ms of work, and the one that came free was given up for the next account though a request of its own stood second in line.

A request whose account has no connection now lets others go first for as long as two statements take; after that it takes any. While such requests wait, an owner may hold up to seven eighths of the servers' limit with the others, and closes what was not used for 0.3 s.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -45,6 +46,10 @@
     std::vector<asio::ip::udp::endpoint> seeds;
     /// By `followed`: how proxies share the work of keeping up with a table.
     std::array<watch_plan, 2> watch;
+    /// How long this proxy may go without word that its configuration is the
+    /// newest before it asks its peers as often as it can; nothing where no key
+    /// has to be dead by a bound.
+    std::optional<std::chrono::milliseconds> proof_due{};
     /// All proxies start for the first time: none is registered yet.
     bool first_start{false};
 };
@@ -165,6 +170,7 @@
     [[nodiscard]] bool suspicious() const;
     void share_budget();
     void tell_proof();
+    [[nodiscard]] bool lacks_proof(time_point now) const;
 
     static constexpr std::string_view proxies_table = "proxies";
     /// The row of that table that holds `m_cluster`; no proxy has this name.
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -120,7 +120,8 @@
         log_members(event::member_lost, m_members.forget_silent(now), " reason=silent");
         log_members(event::member_joined, std::exchange(m_joined, {}), "");
         share_budget();
-        if (now - m_last_heartbeat >= (suspicious() ? suspicious_period : heartbeat_period)) {
+        const bool often = suspicious() || lacks_proof(now);
+        if (now - m_last_heartbeat >= (often ? suspicious_period : heartbeat_period)) {
             ask_peers();
         }
         if (!m_leaving) {
--- a/src/cornellever/cluster/control_tables.ipp
+++ b/src/cornellever/cluster/control_tables.ipp
@@ -60,6 +60,14 @@
     tell_proof();
 }
 
+/// Whether the lease on the configuration is about to end, or has: requests with
+/// a key are refused until somebody says that the copy is the newest.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+bool control<Store, Orders, Connector>::lacks_proof(time_point now) const {
+    const auto at = m_followed.at(place(followed::configuration)).current_at();
+    return m_settings.proof_due && at != time_point{} && now - at > *m_settings.proof_due;
+}
+
 /// Tells the traffic side how far it may rely on its configuration. It comes
 /// behind the configuration itself, so that a proof never counts for an older
 /// copy than the one it was given for.
--- a/src/cornellever/ctl/explain.cpp
+++ b/src/cornellever/ctl/explain.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 /// Events that end a request, by their names in the catalogue.
-constexpr std::array<std::string_view, 5> ending{"request.served", "request.refused", "request.outcome_unknown",
-                                                 "transaction.failed", "session.refused"};
+constexpr std::array<std::string_view, 7> ending{"request.served",     "request.refused", "request.outcome_unknown",
+                                                 "transaction.failed", "session.refused", "request.forbidden",
+                                                 "limit.refused"};
 
 bool names_request(std::string_view line, std::string_view request) {
     const auto field = "request=" + std::string{request};
--- a/src/cornellever/ctl/losses.cpp
+++ b/src/cornellever/ctl/losses.cpp
@@ -39,6 +39,8 @@
         return "relay";
     case loss_place::server:
         return "server";
+    case loss_place::account:
+        return "account";
     }
     return "-";
 }
@@ -78,7 +80,9 @@
     } else if (line.event == "request.retried") {
         const auto words = reason.substr(0, reason.find(' '));
         add(line, relayed ? loss_place::relay : loss_place::server, "tried again: " + std::string{words}, false);
-    } else if (line.event == "session.refused" && reason != "no_such_database") {
+    } else if (line.event == "limit.refused" || line.event == "request.forbidden") {
+        add(line, loss_place::account, "refused: " + std::string{reason.substr(0, reason.find(' '))}, true);
+    } else if (line.event == "session.refused" && reason != "no_such_database" && reason != "unknown_key") {
         add(line, loss_place::opening, "refused: " + words_of(reason), true);
     }
 }
--- a/src/cornellever/ctl/losses.hpp
+++ b/src/cornellever/ctl/losses.hpp
@@ -12,7 +12,7 @@
 namespace cornellever::ctl {
 
 /// Where a request lost its time or its answer.
-enum class loss_place { opening, queue, no_primary, relay, server };
+enum class loss_place { opening, queue, no_primary, relay, server, account };
 
 [[nodiscard]] std::string_view to_string(loss_place where) noexcept;
 
--- a/src/cornellever/limits/limiter.hpp
+++ b/src/cornellever/limits/limiter.hpp
@@ -80,8 +80,10 @@
     /// An answer takes a round trip, on a busy VM some more. A caller that aims
     /// at 100 ms waits meanwhile.
     static constexpr std::chrono::milliseconds answer_limit{40};
-    /// One that did not answer comes last for so long.
-    static constexpr std::chrono::milliseconds doubted_for{1000};
+    /// One that did not answer comes last for so long. In a partition that two in
+    /// three of many proxies are behind, each operation meets others of them; for
+    /// a second each, a proxy would not have found out about all.
+    static constexpr std::chrono::milliseconds doubted_for{3000};
     /// An account whose coordinators had nothing left is not asked for again by
     /// each of the requests of a flood.
     static constexpr std::chrono::milliseconds used_up_for{50};
--- a/src/cornellever/routing/connection_budget.hpp
+++ b/src/cornellever/routing/connection_budget.hpp
@@ -16,6 +16,14 @@
     return std::max<std::size_t>(1, limit / 2);
 }
 
+/// Of the `limit` connections that a backend server takes, how many proxies open
+/// while requests of accounts wait that have none: an eighth is left for orders,
+/// for proxies that come back and for those whose owners are out of reach. They
+/// are closed again soon, so that half is free when all proxies start again.
+[[nodiscard]] constexpr std::size_t connections_under_load(std::size_t limit) noexcept {
+    return std::max<std::size_t>(1, limit - limit / 8);
+}
+
 /// How many connections to one backend server each of `proxies` may hold when
 /// the server takes `limit` of them together; at least one.
 [[nodiscard]] constexpr std::size_t connections_per_proxy(std::size_t limit, std::size_t proxies) noexcept {
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <concepts>
 #include <memory>
 #include <optional>
 #include <string>
@@ -124,12 +125,13 @@
         return found == slots.end() ? nullptr : found->get();
     }
 
-    /// The connection that has been idle for longest among those of other
-    /// accounts; null when there is none.
-    [[nodiscard]] pooled_slot<Link>* least_used_of_others(std::string_view account) const {
+    /// The connection that has been idle for longest among those whose account
+    /// `spares` holds for; null when there is none.
+    template <std::predicate<const std::string&> Spares>
+    [[nodiscard]] pooled_slot<Link>* longest_idle(Spares spares) const {
         pooled_slot<Link>* out = nullptr;
         for (const auto& item : slots) {
-            if (!item->busy && item->account != account && (out == nullptr || item->used_at < out->used_at)) {
+            if (!item->busy && spares(item->account) && (out == nullptr || item->used_at < out->used_at)) {
                 out = item.get();
             }
         }
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -82,11 +82,13 @@
     /// Connections to each server that this proxy may hold, how many proxies
     /// use the same servers, and whether it is meant to be one of these. One
     /// that is not serves what nobody else takes, and then gives the
-    /// connections back.
-    void set_budget(std::size_t connections, std::size_t proxies, bool owned = true) {
+    /// connections back. `under_load` is how many it may hold to each while
+    /// requests of accounts wait that have none.
+    void set_budget(std::size_t connections, std::size_t proxies, bool owned = true, std::size_t under_load = 0) {
         m_budget = connections;
         m_proxies = proxies;
         m_owned = owned;
+        m_under_load = std::max(under_load, connections);
     }
 
     /// A configuration came into force. A transaction that was opened before
@@ -242,6 +244,7 @@
         connection_want want;
         std::int64_t priority{0};
         time_point until{};
+        time_point joined_at{};
         asio::steady_timer timer;
         slot* granted{nullptr};
         /// Its turn will come too late: others went before it meanwhile.
@@ -271,13 +274,18 @@
         m_used_at = boot_clock::now();
     }
     void give_back_unused(time_point now);
+    /// Connections of accounts may be more than the budget for a while.
+    [[nodiscard]] std::size_t most_held() const noexcept { return m_named ? m_under_load : m_budget; }
     [[nodiscard]] bool has_room(const entry& at) const {
-        return at.held() < m_budget + std::min(at.overdue(), m_budget);
+        return at.held() < most_held() + std::min(at.overdue(), m_budget);
     }
+    void close_unneeded(entry& at, time_point now);
     [[nodiscard]] bool may_open(const entry& at, time_point now) const { return now >= at.open_after && has_room(at); }
-    [[nodiscard]] bool may_open_for(const entry& at, std::string_view account, time_point now) const;
+    [[nodiscard]] slot* makes_room(const entry& at, const std::string& account, bool urgent) const;
+    [[nodiscard]] bool may_open_for(const entry& at, const std::string& account, bool urgent, time_point now) const;
     entry* place_opening(const connection_want& want);
-    void open_for_account(entry& at, const std::string& account);
+    void open_for_account(entry& at, const std::string& account, bool urgent);
+    [[nodiscard]] bool has_waited_long(const entry& at, const waiter& item, time_point now) const;
     void note_opened(entry& at, const std::string& account);
     slot& add_slot(entry& at, std::unique_ptr<link> connection, std::string account);
     void learn_lead(slot& held, const sql::reply& from);
@@ -319,6 +327,9 @@
     /// a partition. After one of 12 s that a third of 195 proxies was behind, those
     /// that kept theirs filled the servers: 1 in 30 requests was refused from then on.
     static constexpr std::chrono::milliseconds unused_for{1000};
+    /// Beyond the budget, a connection that nobody used for so long is closed: a
+    /// few statements' time, in which its account has not come again.
+    static constexpr std::chrono::milliseconds unneeded_after{300};
     /// The registry is told 7 s before a server leaves; new work stops well
     /// before, and only the primary gets any at all.
     static constexpr std::chrono::milliseconds leaving_primary_use{5500};
@@ -328,6 +339,7 @@
     std::string m_service;
     std::string m_data_center;
     std::size_t m_budget{1};
+    std::size_t m_under_load{1};
     std::size_t m_proxies{1};
     std::map<std::string, std::unique_ptr<entry>, std::less<>> m_entries;
     std::vector<std::unique_ptr<entry>> m_leaving;
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -96,6 +96,18 @@
     m_used = std::ranges::any_of(m_entries, [](const auto& item) { return item.second->held() > 0; });
 }
 
+/// Gives back what accounts were given beyond the budget.
+template <link_connector Connector>
+void service_pool<Connector>::close_unneeded(entry& at, time_point now) {
+    while (at.slots.size() > m_budget) {
+        auto* item = at.longest_idle([](const std::string&) { return true; });
+        if (item == nullptr || now - item->used_at < unneeded_after) {
+            return;
+        }
+        destroy(*item);
+    }
+}
+
 template <link_connector Connector>
 bool service_pool<Connector>::suits(const connection_want& want, const entry& at, time_point now) const {
     const bool primary = at.server.id == m_primary;
@@ -169,7 +181,7 @@
 void service_pool<Connector>::grow(const connection_want& want) {
     if (m_named) {
         if (auto* at = place_opening(want); at != nullptr) {
-            open_for_account(*at, want.account);
+            open_for_account(*at, want.account, false);
         }
         return;
     }
@@ -189,12 +201,23 @@
 }
 
 template <link_connector Connector>
-bool service_pool<Connector>::may_open_for(const entry& at, std::string_view account, time_point now) const {
+typename service_pool<Connector>::slot* service_pool<Connector>::makes_room(const entry& at, const std::string& account,
+                                                                            bool urgent) const {
+    return at.longest_idle([&](const std::string& other) {
+        return other != account && (urgent || std::ranges::none_of(m_line.items(), [&](const auto* item) {
+                                        return item->want.account == other;
+                                    }));
+    });
+}
+
+template <link_connector Connector>
+bool service_pool<Connector>::may_open_for(const entry& at, const std::string& account, bool urgent,
+                                           time_point now) const {
     // More connections of one account than statements that may run there at a
     // time would only cost others theirs.
     return now >= at.open_after && at.opening_for.size() < most_openings &&
            at.useful_of(account) < statements_at_once(at) &&
-           (has_room(at) || at.least_used_of_others(account) != nullptr);
+           (has_room(at) || makes_room(at, account, urgent) != nullptr);
 }
 
 /// The server to which a connection for an account is best opened.
@@ -204,7 +227,7 @@
     std::vector<placement_candidate> candidates;
     std::vector<entry*> at;
     for (auto& [id, item] : m_entries) {
-        if (!suits(want, *item, now) || !may_open_for(*item, want.account, now)) {
+        if (!suits(want, *item, now) || !may_open_for(*item, want.account, false, now)) {
             continue;
         }
         candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
@@ -221,10 +244,11 @@
 /// Opens a connection for an account. Where this proxy's share of the server is
 /// used up, the connection that was idle for longest makes room: a server knows
 /// a connection's account from its opening on, so that it can't be handed over.
+/// Those that requests in line can use stay, unless it is urgent.
 template <link_connector Connector>
-void service_pool<Connector>::open_for_account(entry& at, const std::string& account) {
+void service_pool<Connector>::open_for_account(entry& at, const std::string& account, bool urgent) {
     if (!has_room(at)) {
-        destroy(*at.least_used_of_others(account));
+        destroy(*makes_room(at, account, urgent));
     }
     at.opening_for.push_back(account);
     open_one(at, account);
@@ -333,7 +357,7 @@
 template <link_connector Connector>
 void service_pool<Connector>::make_idle(slot& held) {
     auto& at = *held.home;
-    if (at.gone || !held.connection->usable() || at.slots.size() > m_budget + at.overdue()) {
+    if (at.gone || !held.connection->usable() || at.slots.size() > most_held() + at.overdue()) {
         destroy(held);
         offer(at);
         forget_if_empty(at);
--- a/src/cornellever/routing/service_pool_line.ipp
+++ b/src/cornellever/routing/service_pool_line.ipp
@@ -15,7 +15,7 @@
     if (want.primary && m_primary.empty()) {
         seek();
     }
-    waiter self{want, want.priority, want.until, asio::steady_timer{m_executor}};
+    waiter self{want, want.priority, want.until, boot_clock::now(), asio::steady_timer{m_executor}};
     m_line.join(self);
     turn_away_overtaken(self);
     while (self.granted == nullptr && !self.out_of_time && boot_clock::now() < want.until) {
@@ -55,10 +55,20 @@
     }
 }
 
+/// Whether a request has let others go before it for long enough. A server that
+/// is short of slots spends one of them on each opening for half as long as on a
+/// statement, so connections are used up first by those whose they are; but an
+/// account with many requests would take each one that comes free, and one with
+/// few would wait for as long as that goes on.
+template <link_connector Connector>
+bool service_pool<Connector>::has_waited_long(const entry& at, const waiter& item, time_point now) const {
+    constexpr double statements = 2.0;
+    return std::chrono::duration<double, std::milli>(now - item.joined_at).count() >=
+           statements * at.typical.value(now);
+}
+
 /// Grants a connection of its account to a waiter; whether one was idle. Where
-/// none is, one is opened for it in its turn, at the cost of one that is idle:
-/// else an account with many requests would take each connection that comes
-/// free, and one with few would wait for as long as that goes on.
+/// none is, one is opened for it.
 template <link_connector Connector>
 bool service_pool<Connector>::serve_one(entry& at, waiter& next) {
     if (auto* idle = best_idle(at, next.want); idle != nullptr) {
@@ -67,12 +77,13 @@
     }
     const auto now = boot_clock::now();
     const auto& account = next.want.account;
+    const bool urgent = has_waited_long(at, next, now);
     const bool under_way = std::ranges::any_of(m_entries, [&](const auto& item) {
         const auto& opening = item.second->opening_for;
         return std::ranges::find(opening, account) != opening.end() && suits(next.want, *item.second, now);
     });
-    if (m_named && !under_way && may_open_for(at, account, now)) {
-        open_for_account(at, account);
+    if (m_named && !under_way && may_open_for(at, account, urgent, now)) {
+        open_for_account(at, account, urgent);
     }
     return false;
 }
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -225,6 +225,9 @@
         }
         watch_progress(*at, now);
         replace_overdue(*at, now);
+        if (m_named) {
+            close_unneeded(*at, now);
+        }
         if (m_named && !m_line.empty()) {
             // An opening that failed is tried again.
             offer(*at);
--- a/src/cornellever/session/describe.hpp
+++ b/src/cornellever/session/describe.hpp
@@ -15,6 +15,19 @@
     out["config_version"] = static_cast<Json::UInt64>(host.config().version);
     out["registry_version"] = static_cast<Json::UInt64>(host.servers().version);
     out["sessions"] = static_cast<Json::UInt64>(host.sessions());
+    out["configuration_proof_ms"] =
+        host.gate().lease().proven() ? static_cast<Json::Int64>(to_ms(host.gate().lease().age(now))) : Json::Int64{-1};
+    for (const auto& [name, item] : host.gate().accounts().all()) {
+        auto& account = out["accounts"][name];
+        account["priority"] = item.priority;
+        if (item.limit) {
+            account["per_second"] = item.limit->per_second;
+            account["burst"] = item.limit->burst;
+        }
+    }
+    for (const auto& [digest, name] : host.gate().accounts().keys()) {
+        out["accounts"][name]["keys"].append(digest.fingerprint());
+    }
     out["served"] = host.counters().served_in.describe();
     out["waited_for_connection"] = host.counters().waited_for_connection.describe();
     for (const auto& [name, backends] : host.pools()) {
@@ -29,6 +42,12 @@
         for (const auto& [id, at] : backends->entries()) {
             auto& server = pool["servers"][id];
             server["data_center"] = at->server.data_center;
+            for (const auto& item : at->slots) {
+                if (!item->account.empty()) {
+                    auto& held = server["connections_of"][item->account];
+                    held = held.asUInt64() + 1;
+                }
+            }
             server["connections"] = static_cast<Json::UInt64>(at->slots.size());
             server["idle"] = static_cast<Json::UInt64>(at->idle());
             server["in_flight"] = static_cast<Json::UInt64>(at->in_flight);
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -37,7 +37,9 @@
 ownership share_connections(std::string_view service, std::size_t limit, std::span<const proxy_place> proxies) {
     const auto each = routing::connections_per_proxy(limit, proxies.size());
     if (each >= 2 || proxies.size() < few_proxies) {
-        return {{}, each};
+        return {{},
+                each,
+                std::max(each, routing::connections_under_load(limit) / std::max<std::size_t>(1, proxies.size()))};
     }
     const auto usable = std::min(routing::shared_connections(limit), useful_connections);
     const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, std::min(proxies.size(), most_owners));
@@ -58,6 +60,7 @@
         }
     }
     out.connections_each = std::max<std::size_t>(1, usable / out.owners.size());
+    out.each_under_load = std::max(out.connections_each, routing::connections_under_load(limit) / out.owners.size());
     return out;
 }
 
--- a/src/cornellever/session/ownership.hpp
+++ b/src/cornellever/session/ownership.hpp
@@ -25,6 +25,8 @@
     /// Empty when every proxy does.
     std::vector<proxy_place> owners;
     std::size_t connections_each{1};
+    /// While requests of accounts wait that have no connection.
+    std::size_t each_under_load{1};
 
     [[nodiscard]] bool owns(std::string_view proxy) const;
 };
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -31,7 +31,7 @@
         // One that was an owner until now still serves the sessions it has.
         const auto sharers = shared.owners.empty() ? m_proxies.size() : shared.owners.size();
         const bool owned = shared.owns(m_name);
-        backends->set_budget(owned ? shared.connections_each : 1, sharers, owned);
+        backends->set_budget(owned ? shared.connections_each : 1, sharers, owned, owned ? shared.each_under_load : 1);
     }
 }
 
--- a/tests/platform/registrations.cpp
+++ b/tests/platform/registrations.cpp
@@ -117,4 +117,39 @@
     BOOST_TEST((again->servers.servers.at("i-1") == servers.servers.at("i-1")));
 }
 
+BOOST_AUTO_TEST_CASE(accounts_of_a_configuration_are_decoded_and_their_keys_forgotten) {
+    const auto config = platform::decode_configuration(
+                            R"({"Version":7,"Routes":[{"Host":"db","Service":"s"},)"
+                            R"({"Host":"open","Service":"s","Anonymous":true}],"Tenants":[)"
+                            R"({"Name":"yard","ApiKeys":["k1","k2"],"Priority":3,"RatePerS":191,"Burst":191},)"
+                            R"({"Name":"shop","ApiKeys":[]}]})")
+                            .value();
+    BOOST_TEST(!config.routes.at("db").keyless);
+    BOOST_TEST(config.routes.at("open").keyless);
+    const auto* yard = config.accounts.holder(accounts::key_digest::of("k2"));
+    BOOST_TEST_REQUIRE(yard != nullptr);
+    BOOST_TEST(yard->name == "yard");
+    BOOST_TEST(yard->priority == 3);
+    BOOST_TEST((yard->limit == accounts::rate_limit{191, 191}));
+    BOOST_TEST(!config.accounts.find("shop")->limit.has_value());
+    BOOST_TEST(config.accounts.holder(accounts::key_digest::of("k3")) == nullptr);
+}
+
+// A deployment without accounts asks nobody for a key.
+BOOST_AUTO_TEST_CASE(without_accounts_every_database_is_open) {
+    const auto config = platform::decode_configuration(R"({"Version":7,"Routes":[{"Host":"db","Service":"s"}]})");
+    BOOST_TEST(config.value().routes.at("db").keyless);
+}
+
+BOOST_AUTO_TEST_CASE(odd_accounts_are_refused_and_their_keys_not_told) {
+    for (const auto* odd :
+         {R"({"ApiKeys":["secret"]})", R"({"Name":"two words","ApiKeys":["secret"]})", R"({"Name":"yard"})",
+          R"({"Name":"yard","ApiKeys":["secret",7]})", R"({"Name":"yard","ApiKeys":"secret"})", "7", "null"}) {
+        const auto config =
+            platform::decode_configuration(R"({"Version":7,"Routes":[],"Tenants":[)" + std::string{odd} + "]}");
+        BOOST_TEST_REQUIRE(!config.has_value(), odd);
+        BOOST_TEST(config.error().message.find("secret") == std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -344,4 +344,28 @@
     BOOST_TEST((boot_clock::now() - begun < 600ms));
 }
 
+// A stranger opens a session in the words of a proxy that relays one, with the
+// digest of a key he has seen, and is let in as the account it stands for.
+BOOST_AUTO_TEST_CASE(a_caller_cannot_pass_for_a_proxy) {
+    const session::session_opening opening{.database = "strict",
+                                           .relayed = true,
+                                           .last_commit = sql::log_position{3, 17},
+                                           .key = accounts::key_digest::of("a key"),
+                                           .config_version = 12};
+    auto line = platform::encode_relayed_opening(opening);
+    line.erase(line.find('\r'));
+    BOOST_TEST(std::holds_alternative<session::malformed_input>(platform::decode_caller_line(line)));
+    const auto read = platform::decode_peer_line(line);
+    const auto* back = std::get_if<session::session_opening>(&read);
+    BOOST_TEST_REQUIRE(back != nullptr);
+    BOOST_TEST(back->relayed);
+    BOOST_TEST(back->database == "strict");
+    BOOST_TEST((back->key == opening.key));
+    BOOST_TEST((back->last_commit == opening.last_commit));
+    BOOST_TEST(back->config_version == 12U);
+    for (const auto* odd : {"RELAY", "RELAY strict", "RELAY strict 00 1 -", "RELAY strict zz 1 -"}) {
+        BOOST_TEST(std::holds_alternative<session::malformed_input>(platform::decode_peer_line(odd)), odd);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/explaining.cpp
+++ b/tests/unit/explaining.cpp
@@ -30,6 +30,17 @@
     BOOST_TEST(lines[1].number == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_line_that_forbade_a_request_decides) {
+    std::vector<ctl::request_line> lines;
+    ctl::collect_lines("7", "a.log",
+                       "2026-01-04T08:39:43.000 serve INFO CL1311 request.retried request=7 reason=owner_gone\n"
+                       "2026-01-04T08:39:43.001 serve INFO CL1317 request.forbidden request=7 reason=lease_ended\n",
+                       lines);
+    ctl::order_lines(lines);
+    BOOST_TEST_REQUIRE(lines.size() == 2U);
+    BOOST_TEST(lines.back().deciding);
+}
+
 // Callers wait because nobody reads the proxy's output: its lines fill the
 // pipe. Lines are dropped instead, and their number is told.
 BOOST_AUTO_TEST_CASE(lines_that_nobody_reads_are_dropped_and_counted) {
--- a/tests/unit/losses.cpp
+++ b/tests/unit/losses.cpp
@@ -79,4 +79,19 @@
     BOOST_TEST(table.seconds().at("2026-01-04T08:39:43").requests == 1U);
 }
 
+// An account says that it is refused: whether for its limit or for its key is
+// told apart from a lack of connections. Keys that never were are no loss.
+BOOST_AUTO_TEST_CASE(refusals_of_accounts_are_counted_apart) {
+    ctl::loss_table table;
+    table.take("2026-01-04T08:39:43.000 serve INFO CL1318 limit.refused request=1 database=d account=yard "
+               "reason=used_up asked=8 wait_ms=12\n"
+               "2026-01-04T08:39:43.000 serve INFO CL1317 request.forbidden request=2 database=d service=s server=- "
+               "reason=lease_ended key=00112233 proof_ms=4900 age_ms=0 aim_ms=200\n"
+               "2026-01-04T08:39:43.000 serve INFO CL1309 session.refused database=d reason=unknown_key key=00112233 "
+               "relayed=0 config=7\n");
+    BOOST_TEST(count_of(table, loss_place::account, "refused: used_up") == 1U);
+    BOOST_TEST(count_of(table, loss_place::account, "refused: lease_ended") == 1U);
+    BOOST_TEST(table.rows().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
