--- a/src/cornellever/accounts/gate.hpp
+++ b/src/cornellever/accounts/gate.hpp
@@ -43,7 +43,9 @@
 
         [[nodiscard]] bool granted() const noexcept { return verdict == permission::granted; }
         [[nodiscard]] int account_priority() const noexcept { return who == nullptr ? 0 : who->priority; }
-        [[nodiscard]] std::string_view account_name() const noexcept { return who == nullptr ? "" : who->name; }
+        [[nodiscard]] std::string_view account_name() const noexcept {
+            return who == nullptr ? std::string_view{} : std::string_view{who->name};
+        }
     };
 
     explicit gate(configuration_lease lease = configuration_lease{}) : m_lease{lease} {}
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -287,7 +287,7 @@
     void open_for_account(entry& at, const std::string& account, bool urgent);
     [[nodiscard]] bool has_waited_long(const entry& at, const waiter& item, time_point now) const;
     void note_opened(entry& at, const std::string& account);
-    slot& add_slot(entry& at, std::unique_ptr<link> connection, std::string account);
+    slot& add_slot(entry& at, std::unique_ptr<link> connection, const std::string& account);
     void learn_lead(slot& held, const sql::reply& from);
     void note_log_lost(slot& held, const sql::log_position& position);
     void open_one(entry& at, std::string account = {});
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -294,7 +294,7 @@
     }
     at.failed_opens = 0;
     at.heard_at = now;
-    auto& added = add_slot(at, std::move(*opened), std::move(account));
+    auto& added = add_slot(at, std::move(*opened), account);
     if (at.server.id == m_primary && !at.gone) {
         co_await refresh(added);
         co_return;
@@ -305,11 +305,11 @@
 /// Adds an open connection, in use.
 template <link_connector Connector>
 typename service_pool<Connector>::slot& service_pool<Connector>::add_slot(entry& at, std::unique_ptr<link> connection,
-                                                                          std::string account) {
+                                                                          const std::string& account) {
     auto& added = *at.slots.emplace_back(std::make_unique<slot>());
     added.connection = std::move(connection);
     added.home = &at;
-    added.account = std::move(account);
+    added.account = account;
     added.busy = true;
     return added;
 }
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -15,10 +15,6 @@
 /// transaction rests on the other.
 constexpr std::size_t wanted_connections = 2;
 
-/// More to one server than this only add handshakes: it runs two statements
-/// at a time and queues sixteen.
-constexpr std::size_t useful_connections = 24;
-
 /// Owners of one service's connections. The loss of one moves an eighth of the
 /// sessions; more owners only send more statements at a time to servers that
 /// run two, and more heartbeats, since each asks all others.
@@ -41,7 +37,7 @@
                 each,
                 std::max(each, routing::connections_under_load(limit) / std::max<std::size_t>(1, proxies.size()))};
     }
-    const auto usable = std::min(routing::shared_connections(limit), useful_connections);
+    const auto usable = routing::shared_connections(limit);
     const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, std::min(proxies.size(), most_owners));
     std::map<std::string_view, std::vector<const proxy_place*>> by_place;
     for (const auto& item : proxies) {
--- a/tests/unit/accounts.cpp
+++ b/tests/unit/accounts.cpp
@@ -164,6 +164,19 @@
     BOOST_TEST(gate.ask(false, key_digest::of("key-yard"), start).account_name() == "yard");
 }
 
+// The name of a decision is the account's own text, not a copy that is gone.
+BOOST_AUTO_TEST_CASE(a_decision_names_an_account_with_a_long_name) {
+    const std::string name(80, 'y');
+    accounts::directory all;
+    all.add({.name = name});
+    all.add_key(key_digest::of("key"), name);
+    accounts::gate gate;
+    gate.take(all);
+    const auto may = gate.ask(false, key_digest::of("key"), start);
+    BOOST_TEST(may.account_name().data() == may.who->name.data());
+    BOOST_TEST(may.account_name() == name);
+}
+
 // All courses of two proxies, the store and one key that is taken away, over ten
 // steps of half a second: a proxy may ask the store, hear from the other, or
 // nothing; answers say how things were when the question was sent. Whatever
