--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -88,8 +88,8 @@
     /// store would, tries again after so long: it has to know when the store
     /// answers it again only for its turn at replacing a primary, and that
     /// turn comes without the store too, 2 s later. A store that is down for
-    /// all is asked so seldom by all but a few. At a try every half second for
-    /// each table, 68 proxies turned away for 9 s would make 2,400 calls.
+    /// all is asked so seldom by all but a few, since every try of every proxy
+    /// is a call that counts.
     static constexpr std::chrono::milliseconds turned_away_pause{5000};
 
     /// Spreads the questions of all proxies to a store that has just returned.
--- a/src/cornellever/limits/grant_message.cpp
+++ b/src/cornellever/limits/grant_message.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "cornellever/core/words.hpp"
+
 namespace cornellever::limits {
 
 namespace {
@@ -10,13 +12,6 @@
 constexpr std::string_view question_word = "lq1";
 constexpr std::string_view answer_word = "la1";
 
-std::string_view next_word(std::string_view& rest) {
-    const auto blank = rest.find(' ');
-    const auto word = rest.substr(0, blank);
-    rest = blank == std::string_view::npos ? std::string_view{} : rest.substr(blank + 1);
-    return word;
-}
-
 std::optional<std::uint64_t> number_of(std::string_view text) {
     std::uint64_t out = 0;
     const auto* const end = text.data() + text.size();
@@ -36,8 +31,8 @@
 }
 
 std::optional<grant_question> decode_question(std::string_view bytes) {
-    const bool known = next_word(bytes) == question_word;
-    const auto nonce = number_of(next_word(bytes));
+    const bool known = take_word(bytes) == question_word;
+    const auto nonce = number_of(take_word(bytes));
     if (!known || !nonce || bytes.empty() || bytes.find(' ') != std::string_view::npos) {
         return std::nullopt;
     }
@@ -46,9 +41,9 @@
 
 std::optional<grant_answer> decode_answer(std::string_view bytes) {
     constexpr std::uint64_t longest_wait_ms = 3'600'000;
-    const bool known = next_word(bytes) == answer_word;
-    const auto nonce = number_of(next_word(bytes));
-    const auto outcome = number_of(next_word(bytes));
+    const bool known = take_word(bytes) == answer_word;
+    const auto nonce = number_of(take_word(bytes));
+    const auto outcome = number_of(take_word(bytes));
     const auto wait = number_of(bytes);
     if (!known || !nonce || !outcome || !wait || *outcome > static_cast<std::uint64_t>(grant_outcome::not_mine) ||
         *wait > longest_wait_ms) {
--- /dev/null
+++ b/src/cornellever/routing/connection_want.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/session/session_state.hpp"
+#include "cornellever/sql/position.hpp"
+
+namespace cornellever::routing {
+
+/// What a request needs of a connection.
+struct connection_want {
+    /// Only the primary will do.
+    bool primary{false};
+    /// The position that another server's log needs to have.
+    std::optional<sql::log_position> floor{};
+    const session::session_state* session{nullptr};
+    /// For whom the connection has to have been opened.
+    std::string account{};
+    /// The request's, and among equal ones its account's: see `priority_of`.
+    std::int64_t priority{0};
+    boot_clock::time_point until{};
+    /// Servers that failed this request before.
+    std::vector<std::string> avoid{};
+};
+
+/// What a proxy has seen of a service's primary.
+struct primary_sight {
+    std::string id;
+    /// When it last proved its lead to this proxy.
+    boot_clock::time_point confirmed_at{};
+    boot_clock::time_point heard_at{};
+    /// Nobody has answered at its address since `heard_at`.
+    bool unreachable{false};
+    bool refused{false};
+};
+
+} // namespace cornellever::routing
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -99,6 +99,8 @@
     /// No connection is opened before that: the last try failed.
     time_point open_after{};
     int failed_opens{0};
+    /// When it last refused a connection for having too many.
+    time_point full_at{};
     typical_time typical;
     std::size_t in_flight{0};
     /// How far it has applied the log, where it is a replica.
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -19,6 +19,7 @@
 #include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/connection_budget.hpp"
 #include "cornellever/routing/connection_lease.hpp"
+#include "cornellever/routing/connection_want.hpp"
 #include "cornellever/routing/leader_log.hpp"
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/pool_entry.hpp"
@@ -29,33 +30,6 @@
 
 namespace cornellever::routing {
 
-/// What a request needs of a connection.
-struct connection_want {
-    /// Only the primary will do.
-    bool primary{false};
-    /// The position that another server's log needs to have.
-    std::optional<sql::log_position> floor{};
-    const session::session_state* session{nullptr};
-    /// For whom the connection has to have been opened.
-    std::string account{};
-    /// The request's, and among equal ones its account's: see `priority_of`.
-    std::int64_t priority{0};
-    boot_clock::time_point until{};
-    /// Servers that failed this request before.
-    std::vector<std::string> avoid{};
-};
-
-/// What a proxy has seen of a service's primary.
-struct primary_sight {
-    std::string id;
-    /// When it last proved its lead to this proxy.
-    boot_clock::time_point confirmed_at{};
-    boot_clock::time_point heard_at{};
-    /// Nobody has answered at its address since `heard_at`.
-    bool unreachable{false};
-    bool refused{false};
-};
-
 /// The connections of this proxy to the servers of one service: opens them
 /// within the budget, hands them to requests, keeps those to the primary armed
 /// (see `pooled_slot`) and collects freshness samples on the way.
@@ -274,10 +248,13 @@
         m_used_at = boot_clock::now();
     }
     void give_back_unused(time_point now);
-    /// Connections of accounts may be more than the budget for a while.
-    [[nodiscard]] std::size_t most_held() const noexcept { return m_named ? m_under_load : m_budget; }
+    /// Connections of accounts may be more than the budget for a while, but for
+    /// a server that is full.
+    [[nodiscard]] std::size_t most_held(const entry& at) const {
+        return m_named && boot_clock::now() - at.full_at >= full_for ? m_under_load : m_budget;
+    }
     [[nodiscard]] bool has_room(const entry& at) const {
-        return at.held() < most_held() + std::min(at.overdue(), m_budget);
+        return at.held() < most_held(at) + std::min(at.overdue(), m_budget);
     }
     void close_unneeded(entry& at, time_point now);
     [[nodiscard]] bool may_open(const entry& at, time_point now) const { return now >= at.open_after && has_room(at); }
@@ -330,6 +307,10 @@
     /// Beyond the budget, a connection that nobody used for so long is closed: a
     /// few statements' time, in which its account has not come again.
     static constexpr std::chrono::milliseconds unneeded_after{300};
+    /// A server counts the connections of processes that lost power for 3 s. While
+    /// it refuses more, taking them beyond the budget keeps those from coming back
+    /// that have none.
+    static constexpr std::chrono::milliseconds full_for{3500};
     /// The registry is told 7 s before a server leaves; new work stops well
     /// before, and only the primary gets any at all.
     static constexpr std::chrono::milliseconds leaving_primary_use{5500};
@@ -363,5 +344,6 @@
 } // namespace cornellever::routing
 
 #include "cornellever/routing/service_pool.ipp"
+#include "cornellever/routing/service_pool_accounts.ipp"
 #include "cornellever/routing/service_pool_line.ipp"
 #include "cornellever/routing/service_pool_primary.ipp"
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -96,18 +96,6 @@
     m_used = std::ranges::any_of(m_entries, [](const auto& item) { return item.second->held() > 0; });
 }
 
-/// Gives back what accounts were given beyond the budget.
-template <link_connector Connector>
-void service_pool<Connector>::close_unneeded(entry& at, time_point now) {
-    while (at.slots.size() > m_budget) {
-        auto* item = at.longest_idle([](const std::string&) { return true; });
-        if (item == nullptr || now - item->used_at < unneeded_after) {
-            return;
-        }
-        destroy(*item);
-    }
-}
-
 template <link_connector Connector>
 bool service_pool<Connector>::suits(const connection_want& want, const entry& at, time_point now) const {
     const bool primary = at.server.id == m_primary;
@@ -200,69 +188,6 @@
     }
 }
 
-template <link_connector Connector>
-typename service_pool<Connector>::slot* service_pool<Connector>::makes_room(const entry& at, const std::string& account,
-                                                                            bool urgent) const {
-    return at.longest_idle([&](const std::string& other) {
-        return other != account && (urgent || std::ranges::none_of(m_line.items(), [&](const auto* item) {
-                                        return item->want.account == other;
-                                    }));
-    });
-}
-
-template <link_connector Connector>
-bool service_pool<Connector>::may_open_for(const entry& at, const std::string& account, bool urgent,
-                                           time_point now) const {
-    // More connections of one account than statements that may run there at a
-    // time would only cost others theirs.
-    return now >= at.open_after && at.opening_for.size() < most_openings &&
-           at.useful_of(account) < statements_at_once(at) &&
-           (has_room(at) || makes_room(at, account, urgent) != nullptr);
-}
-
-/// The server to which a connection for an account is best opened.
-template <link_connector Connector>
-typename service_pool<Connector>::entry* service_pool<Connector>::place_opening(const connection_want& want) {
-    const auto now = boot_clock::now();
-    std::vector<placement_candidate> candidates;
-    std::vector<entry*> at;
-    for (auto& [id, item] : m_entries) {
-        if (!suits(want, *item, now) || !may_open_for(*item, want.account, false, now)) {
-            continue;
-        }
-        candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
-                              .primary = id == m_primary,
-                              .in_flight = item->in_flight + item->opening,
-                              .idle = 1,
-                              .typical = std::chrono::duration<double, std::milli>{item->typical.value(now)}});
-        at.push_back(item.get());
-    }
-    const auto chosen = place_read(candidates, false);
-    return chosen ? at[*chosen] : nullptr;
-}
-
-/// Opens a connection for an account. Where this proxy's share of the server is
-/// used up, the connection that was idle for longest makes room: a server knows
-/// a connection's account from its opening on, so that it can't be handed over.
-/// Those that requests in line can use stay, unless it is urgent.
-template <link_connector Connector>
-void service_pool<Connector>::open_for_account(entry& at, const std::string& account, bool urgent) {
-    if (!has_room(at)) {
-        destroy(*makes_room(at, account, urgent));
-    }
-    at.opening_for.push_back(account);
-    open_one(at, account);
-}
-
-template <link_connector Connector>
-void service_pool<Connector>::note_opened(entry& at, const std::string& account) {
-    --at.opening;
-    const auto found = std::ranges::find(at.opening_for, account);
-    if (found != at.opening_for.end()) {
-        at.opening_for.erase(found);
-    }
-}
-
 template <link_connector Connector>
 void service_pool<Connector>::open_one(entry& at, std::string account) {
     ++at.opening;
@@ -283,6 +208,9 @@
         } else {
             at.heard_at = now;
         }
+        if (why == connect_failure::too_many_connections) {
+            at.full_at = now;
+        }
         const auto backoff = std::min(first_backoff * (1 << std::min(at.failed_opens, 4)), longest_backoff);
         ++at.failed_opens;
         at.open_after = now + backoff;
@@ -357,7 +285,7 @@
 template <link_connector Connector>
 void service_pool<Connector>::make_idle(slot& held) {
     auto& at = *held.home;
-    if (at.gone || !held.connection->usable() || at.slots.size() > most_held() + at.overdue()) {
+    if (at.gone || !held.connection->usable() || at.slots.size() > most_held(at) + at.overdue()) {
         destroy(held);
         offer(at);
         forget_if_empty(at);
--- /dev/null
+++ b/src/cornellever/routing/service_pool_accounts.ipp
@@ -0,0 +1,116 @@
+#pragma once
+
+// Connections that belong to one account each: when one is opened, and which
+// makes room for it.
+
+namespace cornellever::routing {
+
+template <link_connector Connector>
+typename service_pool<Connector>::slot* service_pool<Connector>::makes_room(const entry& at, const std::string& account,
+                                                                            bool urgent) const {
+    return at.longest_idle([&](const std::string& other) {
+        return other != account && (urgent || std::ranges::none_of(m_line.items(), [&](const auto* item) {
+                                        return item->want.account == other;
+                                    }));
+    });
+}
+
+template <link_connector Connector>
+bool service_pool<Connector>::may_open_for(const entry& at, const std::string& account, bool urgent,
+                                           time_point now) const {
+    // More connections of one account than statements that may run there at a
+    // time would only cost others theirs.
+    return now >= at.open_after && at.opening_for.size() < most_openings &&
+           at.useful_of(account) < statements_at_once(at) &&
+           (has_room(at) || makes_room(at, account, urgent) != nullptr);
+}
+
+/// The server to which a connection for an account is best opened.
+template <link_connector Connector>
+typename service_pool<Connector>::entry* service_pool<Connector>::place_opening(const connection_want& want) {
+    const auto now = boot_clock::now();
+    std::vector<placement_candidate> candidates;
+    std::vector<entry*> at;
+    for (auto& [id, item] : m_entries) {
+        if (!suits(want, *item, now) || !may_open_for(*item, want.account, false, now)) {
+            continue;
+        }
+        candidates.push_back({.same_data_center = item->server.data_center == m_data_center,
+                              .primary = id == m_primary,
+                              .in_flight = item->in_flight + item->opening,
+                              .idle = 1,
+                              .typical = std::chrono::duration<double, std::milli>{item->typical.value(now)}});
+        at.push_back(item.get());
+    }
+    const auto chosen = place_read(candidates, false);
+    return chosen ? at[*chosen] : nullptr;
+}
+
+/// Opens a connection for an account. Where this proxy's share of the server is
+/// used up, the connection that was idle for longest makes room: a server knows
+/// a connection's account from its opening on, so that it can't be handed over.
+/// Those that requests in line can use stay, unless it is urgent.
+template <link_connector Connector>
+void service_pool<Connector>::open_for_account(entry& at, const std::string& account, bool urgent) {
+    if (!has_room(at)) {
+        destroy(*makes_room(at, account, urgent));
+    }
+    at.opening_for.push_back(account);
+    open_one(at, account);
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::note_opened(entry& at, const std::string& account) {
+    --at.opening;
+    const auto found = std::ranges::find(at.opening_for, account);
+    if (found != at.opening_for.end()) {
+        at.opening_for.erase(found);
+    }
+}
+
+/// Whether a request has let others go before it for long enough. A server that
+/// is short of slots spends one of them on each opening for half as long as on a
+/// statement, so connections are used up first by those whose they are; but an
+/// account with many requests would take each one that comes free, and one with
+/// few would wait for as long as that goes on.
+template <link_connector Connector>
+bool service_pool<Connector>::has_waited_long(const entry& at, const waiter& item, time_point now) const {
+    constexpr double statements = 2.0;
+    return std::chrono::duration<double, std::milli>(now - item.joined_at).count() >=
+           statements * at.typical.value(now);
+}
+
+/// Grants a connection of its account to a waiter; whether one was idle. Where
+/// none is, one is opened for it.
+template <link_connector Connector>
+bool service_pool<Connector>::serve_one(entry& at, waiter& next) {
+    if (auto* idle = best_idle(at, next.want); idle != nullptr) {
+        grant(next, *idle);
+        return true;
+    }
+    const auto now = boot_clock::now();
+    const auto& account = next.want.account;
+    const bool urgent = has_waited_long(at, next, now);
+    const bool under_way = std::ranges::any_of(m_entries, [&](const auto& item) {
+        const auto& opening = item.second->opening_for;
+        return std::ranges::find(opening, account) != opening.end() && suits(next.want, *item.second, now);
+    });
+    if (m_named && !under_way && may_open_for(at, account, urgent, now)) {
+        open_for_account(at, account, urgent);
+    }
+    return false;
+}
+
+/// Gives back what accounts were given beyond the budget.
+template <link_connector Connector>
+void service_pool<Connector>::close_unneeded(entry& at, time_point now) {
+    while (at.slots.size() > m_budget) {
+        auto* item = at.longest_idle([](const std::string&) { return true; });
+        if (item == nullptr || now - item->used_at < unneeded_after) {
+            return;
+        }
+        destroy(*item);
+    }
+}
+
+} // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool_line.ipp
+++ b/src/cornellever/routing/service_pool_line.ipp
@@ -55,39 +55,6 @@
     }
 }
 
-/// Whether a request has let others go before it for long enough. A server that
-/// is short of slots spends one of them on each opening for half as long as on a
-/// statement, so connections are used up first by those whose they are; but an
-/// account with many requests would take each one that comes free, and one with
-/// few would wait for as long as that goes on.
-template <link_connector Connector>
-bool service_pool<Connector>::has_waited_long(const entry& at, const waiter& item, time_point now) const {
-    constexpr double statements = 2.0;
-    return std::chrono::duration<double, std::milli>(now - item.joined_at).count() >=
-           statements * at.typical.value(now);
-}
-
-/// Grants a connection of its account to a waiter; whether one was idle. Where
-/// none is, one is opened for it.
-template <link_connector Connector>
-bool service_pool<Connector>::serve_one(entry& at, waiter& next) {
-    if (auto* idle = best_idle(at, next.want); idle != nullptr) {
-        grant(next, *idle);
-        return true;
-    }
-    const auto now = boot_clock::now();
-    const auto& account = next.want.account;
-    const bool urgent = has_waited_long(at, next, now);
-    const bool under_way = std::ranges::any_of(m_entries, [&](const auto& item) {
-        const auto& opening = item.second->opening_for;
-        return std::ranges::find(opening, account) != opening.end() && suits(next.want, *item.second, now);
-    });
-    if (m_named && !under_way && may_open_for(at, account, urgent, now)) {
-        open_for_account(at, account, urgent);
-    }
-    return false;
-}
-
 /// Another connection takes the place of one whose answer is overdue, for as
 /// long as that one is waited on: from the room that is left for the
 /// connections of dead processes, and no more than twice the usual number.
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -121,4 +121,5 @@
 } // namespace cornellever::session
 
 #include "cornellever/session/statement_engine.ipp"
+#include "cornellever/session/statement_permission.ipp"
 #include "cornellever/session/statement_transactions.ipp"
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -66,35 +66,6 @@
     }
 }
 
-/// The refusal of a request that may not run; nothing where it may.
-template <routing::link_connector Connector>
-std::optional<sql::reply> statement_engine<Connector>::forbid(const statement_run& run,
-                                                              const accounts::gate::decision& may) const {
-    if (may.granted()) {
-        return std::nullopt;
-    }
-    const auto age = run.gate.lease().age(boot_clock::now());
-    log_decision(event::request_forbidden, run, "-",
-                 std::string{accounts::to_string(may.verdict)} + " key=" + run.session.key.fingerprint() +
-                     " proof_ms=" + std::to_string(to_ms(age)));
-    if (may.verdict == accounts::permission::unknown_key) {
-        return refused(sql::refusal::unknown_key, "the key is not known", sql::transaction_state::idle);
-    }
-    // Another proxy may have later word of the configuration.
-    return refused_for_now("the configuration is not known to be current", std::chrono::milliseconds{0});
-}
-
-/// The last look before a statement is sent: a key may have been taken away, or
-/// given to another account, while the request waited for its connection.
-template <routing::link_connector Connector>
-std::optional<sql::reply> statement_engine<Connector>::forbid_on(const statement_run& run, const lease& held) const {
-    auto may = run.permitted();
-    if (may.granted() && may.account_name() != held->account) {
-        may.verdict = accounts::permission::unknown_key;
-    }
-    return forbid(run, may);
-}
-
 template <routing::link_connector Connector>
 std::optional<sql::reply> statement_engine<Connector>::admit(pool& backends, const statement_run& run,
                                                              routing::connection_want& want) {
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -78,21 +78,6 @@
                    sql::transaction_state::failed);
 }
 
-/// Ends a transaction whose request may not run any more; nothing where it may.
-template <routing::link_connector Connector>
-std::optional<sql::reply> statement_engine<Connector>::forbid_inside(transaction& inside, const statement_run& run) {
-    auto forbidden = forbid_on(run, inside.pinned);
-    if (!forbidden) {
-        return std::nullopt;
-    }
-    const auto reason = forbidden->error_text();
-    undo(inside);
-    const bool commit = run.request.what.kind == sql::statement_kind::commit;
-    inside.failed = !commit;
-    return refused(sql::refusal::aborted, reason + "; nothing of the transaction is kept",
-                   commit ? sql::transaction_state::idle : sql::transaction_state::failed);
-}
-
 template <routing::link_connector Connector>
 sql::reply statement_engine<Connector>::finish_commit(transaction& inside, const statement_run& run,
                                                       const routing::link_reply& got) {
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -207,5 +207,6 @@
 } // namespace cornellever::session
 
 #include "cornellever/session/traffic.ipp"
+#include "cornellever/session/traffic_accounts.ipp"
 #include "cornellever/session/traffic_relay.ipp"
 #include "cornellever/session/traffic_sharing.ipp"
--- /dev/null
+++ b/src/cornellever/session/traffic_accounts.ipp
@@ -0,0 +1,143 @@
+#pragma once
+
+// Whose sessions and operations are, and what of them may run.
+
+namespace cornellever::session {
+
+/// A proxy that relays a session may have heard of its caller's key before this
+/// one did.
+template <routing::link_connector Connector>
+asio::awaitable<void> traffic<Connector>::await_version(std::uint64_t version) {
+    const auto until = boot_clock::now() + version_limit;
+    while (m_config.version < version && boot_clock::now() < until) {
+        co_await sleep_for(std::chrono::milliseconds{20});
+    }
+}
+
+/// Why an opening can't be served; nothing where it can.
+template <routing::link_connector Connector>
+std::optional<sql::statement_error> traffic<Connector>::refusal_of(const session_opening& opening,
+                                                                   std::string& reason) const {
+    const auto route = m_config.routes.find(opening.database);
+    if (route == m_config.routes.end()) {
+        const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
+        reason = sql::to_string(why);
+        return sql::statement_error{why, opening.database};
+    }
+    const auto may = m_gate.ask(route->second.keyless, opening.key, boot_clock::now());
+    if (may.verdict == accounts::permission::unknown_key) {
+        reason = to_string(may.verdict);
+        return sql::statement_error{sql::refusal::unknown_key, "the key is not known"};
+    }
+    // The proxy that asks has others to try, and knows none of them to be any
+    // better than this one.
+    if (opening.relayed && !may.granted()) {
+        reason = to_string(may.verdict);
+        return sql::statement_error{sql::refusal::overloaded, "the configuration is not known to be current"};
+    }
+    if (opening.relayed && !ways_round(opening.database, 0).empty()) {
+        reason = "path_cut";
+        return sql::statement_error{sql::refusal::overloaded, "the primary is out of reach"};
+    }
+    return std::nullopt;
+}
+
+/// Refuses an opening that can't be served; whether it did.
+template <routing::link_connector Connector>
+bool traffic<Connector>::refuse_opening(const session_opening& opening, auto& caller) {
+    std::string reason;
+    const auto refusal = refusal_of(opening, reason);
+    if (!refusal) {
+        return false;
+    }
+    caller.refuse(*refusal);
+    log_event(event::session_refused,
+              "database=" + opening.database + " reason=" + reason + " key=" + opening.key.fingerprint() +
+                  " relayed=" + (opening.relayed ? "1" : "0") + " config=" + std::to_string(m_config.version));
+    caller.close();
+    return true;
+}
+
+/// A session whose key was taken away runs nothing more, wherever its
+/// statements run; nothing where the key still stands for an account.
+template <routing::link_connector Connector>
+std::optional<sql::reply> traffic<Connector>::refuse_key(conversation& with, const sql::request& asked) {
+    const auto route = m_config.routes.find(with.state.database);
+    if (route == m_config.routes.end()) {
+        return std::nullopt;
+    }
+    const auto may = m_gate.ask(route->second.keyless, with.state.key, boot_clock::now());
+    if (may.verdict != accounts::permission::unknown_key) {
+        return std::nullopt;
+    }
+    log_event(event::request_forbidden, "request=" + asked.id + " database=" + with.state.database +
+                                            " reason=unknown_key key=" + with.state.key.fingerprint() +
+                                            " config=" + std::to_string(m_config.version));
+    const bool inside = !with.between_operations();
+    if (with.open) {
+        m_engine.undo(*with.open);
+        with.open.reset();
+    }
+    with.elsewhere.close();
+    with.elsewhere.state = sql::transaction_state::idle;
+    return refused(inside ? sql::refusal::aborted : sql::refusal::unknown_key, "the key is not known any more",
+                   sql::transaction_state::idle);
+}
+
+/// Limits count operations: a statement by itself, or a transaction, which is
+/// refused at its start or not at all.
+template <routing::link_connector Connector>
+bool traffic<Connector>::starts_operation(const conversation& with, const sql::request& asked) {
+    if (with.relayed || !with.between_operations()) {
+        return false;
+    }
+    switch (asked.what.kind) {
+    case sql::statement_kind::begin:
+    case sql::statement_kind::begin_read_only:
+    case sql::statement_kind::read:
+    case sql::statement_kind::write:
+    case sql::statement_kind::execute:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Refuses an operation beyond its account's limit before it waits for anything
+/// or is sent anywhere, so that a flood costs other accounts nothing.
+template <routing::link_connector Connector>
+asio::awaitable<std::optional<sql::reply>> traffic<Connector>::refuse_over_limit(conversation& with,
+                                                                                 const sql::request& asked) {
+    const auto route = m_config.routes.find(with.state.database);
+    if (!m_limits.admit || route == m_config.routes.end()) {
+        co_return std::nullopt;
+    }
+    const auto may = m_gate.ask(route->second.keyless, with.state.key, boot_clock::now());
+    if (may.who == nullptr || !may.who->limit) {
+        co_return std::nullopt;
+    }
+    const auto account = may.who->name;
+    const auto verdict = co_await m_limits.admit(account, *may.who->limit);
+    if (verdict.what == limits::limit_verdict::kind::granted) {
+        co_return std::nullopt;
+    }
+    const bool used_up = verdict.what == limits::limit_verdict::kind::used_up;
+    ++(used_up ? m_counters.over_limit : m_counters.limit_unknown);
+    log_event(event::limit_refused, "request=" + asked.id + " database=" + with.state.database + " account=" + account +
+                                        " reason=" + (used_up ? "used_up" : "no_coordinator") +
+                                        " asked=" + std::to_string(verdict.asked) +
+                                        " wait_ms=" + std::to_string(verdict.wait.count()));
+    co_return refused_for_now(used_up ? "the account's limit is used up" : "the account's limit is not known",
+                              verdict.wait);
+}
+
+/// What spreads sessions over the owners. Those of an account go to the same
+/// ones: its connections to the servers lie at few proxies, and one that is open
+/// is more often of the right account.
+template <routing::link_connector Connector>
+std::uint64_t traffic<Connector>::turn_of(const conversation& with) const {
+    const auto* who = m_gate.accounts().holder(with.state.key);
+    return who == nullptr ? with.state.id : stable_hash({who->name});
+}
+
+} // namespace cornellever::session
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -40,15 +40,6 @@
     return part.peer != nullptr && found != m_unreached.end() && found->second > part.opened_at;
 }
 
-/// What spreads sessions over the owners. Those of an account go to the same
-/// ones: its connections to the servers lie at few proxies, and one that is open
-/// is more often of the right account.
-template <routing::link_connector Connector>
-std::uint64_t traffic<Connector>::turn_of(const conversation& with) const {
-    const auto* who = m_gate.accounts().holder(with.state.key);
-    return who == nullptr ? with.state.id : stable_hash({who->name});
-}
-
 /// The other proxies that may run a session's next operation, in the order in
 /// which they are tried.
 template <routing::link_connector Connector>
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -7,6 +7,7 @@
 #include "fake_link.hpp"
 #include "platform/base64.hpp"
 #include "platform/caller_listener.hpp"
+#include "platform/relay_codec.hpp"
 #include "platform/rows.hpp"
 #include "platform/statement_codec.hpp"
 #include "wire_server.hpp"
--- a/tests/unit/accounts.cpp
+++ b/tests/unit/accounts.cpp
@@ -334,6 +334,42 @@
     BOOST_TEST(served == 240U);
 }
 
+// All VMs lost power. The servers count the connections of the dead processes for
+// 3 s and refuse more; those owners that came back first took what was left beyond
+// their share, and the others' callers were refused.
+BOOST_AUTO_TEST_CASE(a_full_server_is_left_to_those_that_have_no_connection) {
+    for (const bool full : {false, true}) {
+        proxy_in_memory proxy;
+        auto config = with_accounts(2);
+        std::vector<caller_script> scripts(6);
+        for (std::size_t i = 0; i < scripts.size(); ++i) {
+            const auto name = "account-" + std::to_string(i);
+            config.accounts.add({.name = name});
+            config.accounts.add_key(key_digest::of(name), name);
+            scripts[i].events.push_back(opening_with("strict", name));
+            for (int n = 0; n < 12; ++n) {
+                scripts[i].events.push_back(ask(name + "-" + std::to_string(n), statement_kind::read, "1"));
+            }
+        }
+        proxy.host.update(config);
+        auto& primary = proxy.server("p");
+        if (full) {
+            primary.connect_fails = routing::connect_failure::too_many_connections;
+        }
+        proxy.later(20ms, [&] { primary.connect_fails.reset(); });
+        std::vector<caller_script*> all;
+        for (auto& item : scripts) {
+            all.push_back(&item);
+        }
+        proxy.play_together(all, [&] { proxy.host.tick(); });
+        const auto shared = session::share_connections("stock", config.services.at("stock").max_connections, places(3));
+        BOOST_TEST_REQUIRE(shared.each_under_load > shared.connections_each);
+        const auto most = static_cast<std::size_t>(primary.most_open);
+        BOOST_TEST(most <= (full ? shared.connections_each : shared.each_under_load));
+        BOOST_TEST((full || most > shared.connections_each));
+    }
+}
+
 // A clerk is dismissed and the key of the till taken away. Her open session went
 // on selling.
 BOOST_AUTO_TEST_CASE(a_key_taken_away_ends_an_open_session) {
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cornellever/routing/backend_link.hpp"
@@ -50,6 +51,9 @@
     sql::refusal refuse_with{sql::refusal::overloaded};
     std::vector<met_statement> met{};
     int connections{0};
+    /// Connections open now, and the most there were since a test set it back.
+    int open{0};
+    int most_open{0};
 
     [[nodiscard]] std::vector<met_statement> of(const std::string& id) const {
         std::vector<met_statement> out;
@@ -68,7 +72,12 @@
     explicit fake_link(fake_server& server, std::string account = {})
         : m_server{server}
         , m_number{++server.connections}
-        , m_account{std::move(account)} {}
+        , m_account{std::move(account)} {
+        m_server.most_open = std::max(m_server.most_open, ++m_server.open);
+    }
+    fake_link(const fake_link&) = delete;
+    fake_link& operator=(const fake_link&) = delete;
+    ~fake_link() { close(); }
 
     asio::awaitable<routing::link_reply> exchange(const std::vector<sql::command>& batch, std::size_t wanted,
                                                   boot_clock::time_point until) {
@@ -91,7 +100,7 @@
     bool post(const std::vector<sql::command>& batch) {
         if (m_server.reset_connections) {
             m_server.reset_connections = false;
-            m_usable = false;
+            close();
         }
         if (!m_usable) {
             return false;
@@ -114,7 +123,7 @@
     }
 
     [[nodiscard]] bool usable() const { return m_usable; }
-    void close() { m_usable = false; }
+    void close() { m_server.open -= std::exchange(m_usable, false) ? 1 : 0; }
 
 private:
     void run(const sql::command& what) {
