A proxy that does not know all others coordinates no limit

Cause, by reading: a proxy that starts while the store turns it away knows some others by their heartbeats after 1.5 s, chose coordinators among these, and could take itself for one of each account beside those that all others know. With a lease from a peer it would have granted up to the whole limit again.

It grants nothing until it has read the table of proxies. Unit test fails without (the desk had no such word).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -245,6 +245,8 @@
     /// The others were read from the store.
     bool m_listed{false};
     std::vector<session::proxy_place> m_places;
+    /// Whether these were all that are in the table.
+    bool m_places_complete{false};
     std::minstd_rand m_random{std::random_device{}()};
 };
 
--- a/src/cornellever/cluster/control_joining.ipp
+++ b/src/cornellever/cluster/control_joining.ipp
@@ -121,10 +121,11 @@
     for (const auto& [name, item] : m_members.peers()) {
         places.push_back({name, item.data_center, {item.address.address(), m_settings.sessions.port()}});
     }
-    if (places != m_places) {
+    if (places != m_places || m_listed != m_places_complete) {
         m_places = places;
+        m_places_complete = m_listed;
         m_counts.proxies = places.size();
-        m_bridge.set_proxies(std::move(places));
+        m_bridge.set_proxies(std::move(places), m_listed);
     }
 }
 
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -54,8 +54,10 @@
         asio::post(m_executor, [this, at] { m_host.prove_configuration(at); });
     }
 
-    void set_proxies(std::vector<session::proxy_place> places) {
-        asio::post(m_executor, [this, places = std::move(places)]() mutable { m_host.set_proxies(std::move(places)); });
+    void set_proxies(std::vector<session::proxy_place> places, bool complete) {
+        asio::post(m_executor, [this, places = std::move(places), complete]() mutable {
+            m_host.set_proxies(std::move(places), complete);
+        });
     }
 
     void take(std::vector<peer_sight> seen) {
--- a/src/cornellever/limits/grant_desk.cpp
+++ b/src/cornellever/limits/grant_desk.cpp
@@ -20,11 +20,12 @@
 
 } // namespace
 
-void grant_desk::set_proxies(std::vector<std::string> names, time_point now) {
-    if (m_proxies.empty()) {
-        m_known_at = now;
-    } else {
+void grant_desk::set_proxies(std::vector<std::string> names, time_point now, bool complete) {
+    if (m_complete) {
         m_former.push_back({std::move(m_proxies), now});
+    } else {
+        m_known_at = now;
+        m_complete = complete;
     }
     m_proxies = std::move(names);
     ++m_generation;
@@ -89,7 +90,7 @@
     const auto* who = gate.accounts().find(account);
     // Without a lease on its configuration this proxy may be one whom the others
     // have replaced long since, or know an older limit.
-    if (who == nullptr || !who->limit || m_proxies.empty() || !gate.lease().holds(now)) {
+    if (who == nullptr || !who->limit || !m_complete || !gate.lease().holds(now)) {
         return {.outcome = grant_outcome::not_mine};
     }
     auto& share = share_for(*who, now);
--- a/src/cornellever/limits/grant_desk.hpp
+++ b/src/cornellever/limits/grant_desk.hpp
@@ -31,8 +31,10 @@
         , m_bound{bound}
         , m_first_start{first_start} {}
 
-    /// The proxies that there are, this one among them.
-    void set_proxies(std::vector<std::string> names, time_point now);
+    /// The proxies that there are, this one among them. Where they are not known
+    /// to be all, this one may take itself for a coordinator that it is not, and
+    /// grants nothing.
+    void set_proxies(std::vector<std::string> names, time_point now, bool complete = true);
 
     /// Grants one operation of an account, or says why not.
     [[nodiscard]] grant_answer ask(std::string_view account, const accounts::gate& gate, time_point now);
@@ -71,7 +73,8 @@
     bool m_first_start;
     std::vector<std::string> m_proxies;
     std::uint64_t m_generation{0};
-    /// When any were known first.
+    /// Whether all of them were known once, and since when.
+    bool m_complete{false};
     time_point m_known_at{};
     /// Replaced within the last `takeover`; older ones are forgotten, and with
     /// them who held which share until `m_forgotten_until`.
--- a/src/cornellever/limits/limiter.hpp
+++ b/src/cornellever/limits/limiter.hpp
@@ -61,8 +61,9 @@
         , m_self{std::move(self)}
         , m_data_center{std::move(data_center)} {}
 
-    /// The proxies that there are, this one among them.
-    void set_proxies(std::vector<coordinator_place> proxies);
+    /// The proxies that there are, this one among them, and whether these are
+    /// known to be all.
+    void set_proxies(std::vector<coordinator_place> proxies, bool complete = true);
 
     /// Has one operation of an account granted.
     asio::awaitable<limit_verdict> admit(std::string account, accounts::rate_limit limit, const accounts::gate& gate);
@@ -101,7 +102,7 @@
 };
 
 template <grant_channel Channel>
-void limiter<Channel>::set_proxies(std::vector<coordinator_place> proxies) {
+void limiter<Channel>::set_proxies(std::vector<coordinator_place> proxies, bool complete) {
     std::vector<std::string> names;
     m_places.clear();
     for (auto& item : proxies) {
@@ -110,7 +111,7 @@
         m_places.insert_or_assign(std::move(name), std::move(item));
     }
     std::erase_if(m_doubted, [&](const auto& item) { return !m_places.contains(item.first); });
-    m_desk.set_proxies(std::move(names), boot_clock::now());
+    m_desk.set_proxies(std::move(names), boot_clock::now(), complete);
 }
 
 /// Those of the same data centre first, each of them in turn, since each holds
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -56,8 +56,9 @@
     void prove_configuration(boot_clock::time_point at) { m_gate.prove(at); }
 
     /// The proxies that share each server's connections, this one among them;
-    /// none while they are not known yet.
-    void set_proxies(std::vector<proxy_place> proxies);
+    /// none while they are not known yet. `complete` is whether these are known
+    /// to be all.
+    void set_proxies(std::vector<proxy_place> proxies, bool complete = true);
 
     /// Has operations of accounts counted from now on.
     void keep_limits(operation_limits how) { m_limits = std::move(how); }
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -5,10 +5,10 @@
 namespace cornellever::session {
 
 template <routing::link_connector Connector>
-void traffic<Connector>::set_proxies(std::vector<proxy_place> proxies) {
+void traffic<Connector>::set_proxies(std::vector<proxy_place> proxies, bool complete) {
     m_proxies = std::move(proxies);
     if (m_limits.set_proxies) {
-        m_limits.set_proxies(m_proxies);
+        m_limits.set_proxies(m_proxies, complete);
     }
     share_connections_anew();
 }
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -236,6 +236,21 @@
     BOOST_TEST((desk.ask("yard", gate, start + 10s + grant_desk::takeover + 1s).outcome == grant_outcome::granted));
 }
 
+// A proxy starts while the store turns it away, and knows two others by their
+// heartbeats. It took itself for a coordinator of each account, beside those that
+// all the others know.
+BOOST_AUTO_TEST_CASE(a_proxy_that_does_not_know_all_others_grants_nothing) {
+    const auto gate = gate_of({100, 100});
+    grant_desk desk{"proxy-0", bound, true};
+    desk.set_proxies(names(3), start, false);
+    BOOST_TEST((desk.ask("yard", gate, start + 1s).outcome == grant_outcome::not_mine));
+    const auto all = names(84);
+    grant_desk coordinator{all[choose_coordinators("yard", 8, all).front()], bound, true};
+    coordinator.set_proxies(names(3), start, false);
+    coordinator.set_proxies(all, start + 2s);
+    BOOST_TEST((coordinator.ask("yard", gate, start + 2s).outcome == grant_outcome::granted));
+}
+
 // An operator lowers a limit far below what is sent: what was saved up under the
 // one before must not be granted on.
 BOOST_AUTO_TEST_CASE(a_lowered_limit_holds_at_once) {
