--- a/tests/fuzz/statements.cpp
+++ b/tests/fuzz/statements.cpp
@@ -6,7 +6,9 @@
 #include "cornellever/cluster/peer_message.hpp"
 #include "cornellever/cluster/promotion_claim.hpp"
 #include "cornellever/cluster/snapshot.hpp"
+#include "cornellever/limits/grant_message.hpp"
 #include "cornellever/rpc/envelope.hpp"
+#include "platform/relay_codec.hpp"
 #include "platform/rows.hpp"
 #include "platform/statement_codec.hpp"
 
@@ -29,6 +31,25 @@
             std::abort();
         }
     }
+    const auto from_peer = platform::decode_peer_line(line);
+    if (const auto* opening = std::get_if<session::session_opening>(&from_peer); opening && opening->relayed) {
+        const auto bytes = platform::encode_relayed_opening(*opening);
+        const auto again = platform::decode_peer_line(std::string_view{bytes}.substr(0, bytes.size() - 2));
+        const auto* same = std::get_if<session::session_opening>(&again);
+        if (same == nullptr || same->key != opening->key) {
+            std::abort();
+        }
+    }
+    if (const auto question = limits::decode_question(text)) {
+        if (!limits::decode_question(limits::encode(*question))) {
+            std::abort();
+        }
+    }
+    if (const auto answer = limits::decode_answer(text)) {
+        if (!limits::decode_answer(limits::encode(*answer))) {
+            std::abort();
+        }
+    }
     platform::reply_decoder decoder;
     for (auto rest = text; !rest.empty();) {
         const auto end = rest.find('\n');
