--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "cornellever/cluster/control_settings.hpp"
 #include "cornellever/cluster/membership.hpp"
 #include "cornellever/cluster/metadata_store.hpp"
 #include "cornellever/cluster/peer_message.hpp"
@@ -33,27 +34,6 @@
 
 namespace cornellever::cluster {
 
-/// Who this proxy is among the others.
-struct control_settings {
-    std::string name;
-    std::string data_center;
-    std::uint64_t incarnation{0};
-    asio::ip::udp::endpoint heartbeats;
-    tcp::endpoint peers;
-    /// Where this proxy takes sessions that others relay; the others do on the
-    /// same port.
-    tcp::endpoint sessions;
-    std::vector<asio::ip::udp::endpoint> seeds;
-    /// By `followed`: how proxies share the work of keeping up with a table.
-    std::array<watch_plan, 2> watch;
-    /// How long this proxy may go without word that its configuration is the
-    /// newest before it asks its peers as often as it can; nothing where no key
-    /// has to be dead by a bound.
-    std::optional<std::chrono::milliseconds> proof_due{};
-    /// All proxies start for the first time: none is registered yet.
-    bool first_start{false};
-};
-
 /// What the control side has done, readable from any thread.
 struct control_counts {
     std::atomic<std::uint64_t> promoted{0};
