A primary that lost its log is recognised by proxies that started later

Cause: a server that starts again with nothing may still be the primary and proves its lead. Only a proxy that had heard an earlier position from it could tell.

Mended by two independent sources, so that neither the death of most proxies nor that of most servers hides it: - heartbeats carry the furthest position that the reported server is known to have named while it led (two letters where it equals the sample's, which it mostly does). Weighed: a row in the store, written seldom; it costs calls and is gone or late when the store is. - a proxy that knows no position does not use a primary with an empty log before the other registered servers have named theirs. One that holds an entry of that term proves the loss; if all are empty the service is new; one that does not answer is waited for 5 s. The first write also waits for a proof of the lead when nobody has had one. A peer's word no longer undoes what this proxy found out itself.

Tests: rebirth/a_proxy_that_starts_later_* (failed before: read and write were sent to the empty primary), a_peer_that_knows_no_position_*, a_proxy_that_was_told_*, a_new_service_is_served_*; heartbeats' codec. The heartbeats' first word is cl4 now, and the codec's test says so.

--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -33,7 +33,9 @@
                               .confirmed_age = age(sight.confirmed_at),
                               .heard_age = age(sight.heard_at),
                               .unreachable = sight.unreachable,
-                              .refused = sight.refused};
+                              .refused = sight.refused,
+                              .log_lost = sight.log_lost,
+                              .furthest = sight.furthest};
         if (what == peer_message::kind::answer && at.seen->sample) {
             report.sample = aged_sample{age(at.seen->sample->asked_at), at.seen->sample->position};
         }
@@ -190,7 +192,9 @@
                          .primary = item.unreachable ? std::string{} : item.primary,
                          .confirmed_at = counted_from - item.confirmed_age,
                          .peer = peer,
-                         .heard_at = counted_from - item.heard_age};
+                         .heard_at = counted_from - item.heard_age,
+                         .reported = item.primary,
+                         .furthest = item.furthest};
         if (item.sample) {
             sight.sample = routing::freshness_sample{counted_from - item.sample->age, item.sample->position};
         }
--- a/src/cornellever/cluster/peer_message.cpp
+++ b/src/cornellever/cluster/peer_message.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// First word of every message; another version gets another word.
-constexpr std::string_view magic = "cl3";
+constexpr std::string_view magic = "cl4";
 
 /// Stands before the list of other proxies; no service has this name.
 constexpr std::string_view others_mark = "/";
@@ -21,6 +21,10 @@
 /// Stands for an age that the sender does not know.
 constexpr std::string_view no_age = "-";
 
+/// Flags of a report: the furthest position follows, or is that of the sample.
+constexpr char furthest_given = 'f';
+constexpr char furthest_as_sample = 'e';
+
 char letter_of(peer_message::kind what) {
     switch (what) {
     case peer_message::kind::question:
@@ -101,6 +105,13 @@
     bool m_good{true};
 };
 
+sql::log_position read_position(word_reader& words) {
+    sql::log_position out;
+    out.term = words.number();
+    out.number = words.number();
+    return out;
+}
+
 primary_report read_report(word_reader& words) {
     primary_report out;
     out.service = words.word();
@@ -113,13 +124,18 @@
     const auto flags = words.word();
     out.unreachable = flags.find('u') != std::string_view::npos;
     out.refused = flags.find('r') != std::string_view::npos;
+    out.log_lost = flags.find('l') != std::string_view::npos;
     if (flags.find('s') != std::string_view::npos) {
         aged_sample sample;
         sample.age = words.age();
-        sample.position.term = words.number();
-        sample.position.number = words.number();
+        sample.position = read_position(words);
         out.sample = sample;
     }
+    if (flags.find(furthest_given) != std::string_view::npos) {
+        out.furthest = read_position(words);
+    } else if (out.sample && flags.find(furthest_as_sample) != std::string_view::npos) {
+        out.furthest = out.sample->position;
+    }
     return out;
 }
 
@@ -153,20 +169,32 @@
     }
 }
 
+void write_position(word_writer& out, const sql::log_position& at) {
+    out.number(at.term);
+    out.number(at.number);
+}
+
 void write_report(word_writer& out, const primary_report& item) {
     out.word(item.service);
     out.word(item.primary.empty() ? "-" : item.primary);
     out.number(item.confirmed_age.count());
     out.number(item.heard_age.count());
+    const bool as_sample = item.furthest && item.sample && item.sample->position == *item.furthest;
     std::string flags{"."};
     flags += item.unreachable ? "u" : "";
     flags += item.refused ? "r" : "";
+    flags += item.log_lost ? "l" : "";
     flags += item.sample ? "s" : "";
+    if (item.furthest) {
+        flags += as_sample ? furthest_as_sample : furthest_given;
+    }
     out.word(flags);
     if (item.sample) {
         out.number(item.sample->age.count());
-        out.number(item.sample->position.term);
-        out.number(item.sample->position.number);
+        write_position(out, item.sample->position);
+    }
+    if (item.furthest && !as_sample) {
+        write_position(out, *item.furthest);
     }
 }
 
--- a/src/cornellever/cluster/peer_message.hpp
+++ b/src/cornellever/cluster/peer_message.hpp
@@ -29,7 +29,12 @@
     /// that no process listens.
     bool unreachable{false};
     bool refused{false};
+    /// It answers and leads, without the commits that it had.
+    bool log_lost{false};
     std::optional<aged_sample> sample{};
+    /// The furthest position that it is known to have named while it led, so
+    /// that a proxy that has just started can tell whether its log got shorter.
+    std::optional<sql::log_position> furthest{};
 };
 
 /// Another proxy that the sender heard of, and how long ago it was alive.
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -27,12 +27,17 @@
 /// What a peer saw of one service's primary, in this proxy's own time.
 struct peer_sight {
     std::string service;
+    /// Empty when the peer does not reach it.
     std::string primary;
     boot_clock::time_point confirmed_at;
     std::optional<routing::freshness_sample> sample;
     /// The peer, and when it last heard that primary.
     session::proxy_place peer;
     boot_clock::time_point heard_at;
+    /// The server that the peer reports on, and the furthest position that it
+    /// is known to have named while it led.
+    std::string reported;
+    std::optional<sql::log_position> furthest;
 };
 
 /// The traffic side as the control side uses it: every call is carried out on
@@ -112,6 +117,9 @@
         if (!seen.primary.empty()) {
             m_host.note_path(seen.service, seen.peer, seen.heard_at);
         }
+        if (seen.furthest) {
+            m_host.note_told(seen.service, {seen.reported, *seen.furthest});
+        }
         const auto found = m_host.pools().find(seen.service);
         if (found == m_host.pools().end()) {
             return;
--- a/src/cornellever/routing/connection_want.hpp
+++ b/src/cornellever/routing/connection_want.hpp
@@ -36,6 +36,10 @@
     /// Nobody has answered at its address since `heard_at`.
     bool unreachable{false};
     bool refused{false};
+    /// It answers and leads, without the commits that it had.
+    bool log_lost{false};
+    /// The furthest position that it is known to have named while it led.
+    std::optional<sql::log_position> furthest{};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/leader_log.hpp
+++ b/src/cornellever/routing/leader_log.hpp
@@ -9,12 +9,13 @@
 
 namespace cornellever::routing {
 
-/// How far the log of the last server was that proved its lead, so that a
-/// primary shows which started again with an empty log: it may still be taken
-/// for the leader, and would show callers a database without their commits.
-/// While a server leads, its log gets no shorter. Positions of different
-/// servers are not compared: one that was promoted may lack commits, which are
-/// rolled back then and which nobody is owed.
+/// How far the log of the last server was that proved its lead, to this proxy
+/// or to another that told of it, so that a primary shows which started again
+/// with an empty log: it may still be taken for the leader, and would show
+/// callers a database without their commits. While a server leads, its log gets
+/// no shorter. Positions of different servers are not compared: one that was
+/// promoted may lack commits, which are rolled back then and which nobody is
+/// owed.
 class leader_log {
 public:
     using time_point = boot_clock::time_point;
@@ -28,6 +29,22 @@
         }
     }
 
+    /// Another proxy knows that `server` had come to `position` while it led. It
+    /// may not have noticed yet that another server leads now.
+    void note_told(const std::string& server, const sql::log_position& position, time_point now) {
+        if (m_server.empty() || m_server == server) {
+            note(server, position, now);
+        }
+    }
+
+    /// `server` leads, wherever its log is: what another had named counts no more.
+    void note_leader(const std::string& server) {
+        if (m_server != server) {
+            m_server = server;
+            m_furthest.reset();
+        }
+    }
+
     /// Whether `position`, named by a server that was asked at `asked_at`, lacks
     /// what it held itself before that. An answer that another one has
     /// overtaken names an older position and tells nothing.
@@ -36,8 +53,10 @@
         return m_furthest && m_server == server && asked_at > m_known_since && position < *m_furthest;
     }
 
-    /// The furthest position named; that of an empty log when none was.
-    [[nodiscard]] sql::log_position furthest() const noexcept { return m_furthest.value_or(sql::log_position{}); }
+    /// The furthest position that `server` is known to have named while it led.
+    [[nodiscard]] std::optional<sql::log_position> furthest_of(std::string_view server) const {
+        return m_server == server ? m_furthest : std::nullopt;
+    }
 
 private:
     std::string m_server;
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -105,6 +105,9 @@
     std::size_t in_flight{0};
     /// How far it has applied the log, where it is a replica.
     replica_progress progress;
+    /// Since when it leads with an empty log while another registered server,
+    /// which may hold its commits, has not answered.
+    std::optional<time_point> empty_since;
     /// The last answer of any kind, and the last sign that nobody answers.
     time_point heard_at{};
     time_point refused_at{};
@@ -118,6 +121,9 @@
     /// When it was first seen to be leaving.
     std::optional<time_point> draining_since;
 
+    /// Whether it is not used for that: the other server may still answer.
+    [[nodiscard]] bool awaits_witness(time_point now) const { return empty_since && now - *empty_since < witness_wait; }
+
     /// Connections open or being opened.
     [[nodiscard]] std::size_t held() const noexcept { return slots.size() + opening; }
 
@@ -183,6 +189,10 @@
 
     /// Whether nobody answered since the last answer.
     [[nodiscard]] bool unreachable() const noexcept { return std::max(refused_at, silent_at) > heard_at; }
+
+private:
+    /// Longer than most servers take to start again.
+    static constexpr std::chrono::milliseconds witness_wait{5000};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/replica_progress.hpp
+++ b/src/cornellever/routing/replica_progress.hpp
@@ -25,6 +25,9 @@
     /// nothing is known of it.
     [[nodiscard]] bool lacks(const sql::log_position& floor, time_point now, const read_floor& primary) const;
 
+    /// The position that it named last.
+    [[nodiscard]] const std::optional<sql::log_position>& applied() const noexcept { return m_applied; }
+
     /// How long after the primary it applied what it named last.
     [[nodiscard]] std::chrono::nanoseconds lag() const noexcept { return m_lag; }
 
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -106,43 +106,28 @@
     }
 
     /// A server refused as not being the primary: another one is looked for.
-    void note_not_primary(const entry& from) {
-        if (m_primary == from.server.id) {
-            log_event(event::primary_lost, "service=" + m_service + " server=" + m_primary + " reason=refused_lead");
-            m_primary.clear();
-            seek();
-        }
-    }
-
-    /// A server proved its lead after `asked_at`.
-    void note_primary(entry& from, time_point asked_at, const std::optional<sql::log_position>& position) {
-        if (position) {
-            m_floor.add({asked_at, *position});
-        }
-        if (!from.gone) {
-            believe(from.server.id, asked_at);
-            if (position) {
-                m_leader_log.note(from.server.id, *position, boot_clock::now());
-            }
-        }
-    }
+    void note_not_primary(entry& from);
 
     /// A server acknowledged a commit that was sent at `sent_at`.
-    void note_commit(entry& from, time_point sent_at, const std::optional<sql::log_position>& position) {
-        note_primary(from, sent_at, position);
-        if (position) {
-            m_floor.note_commit(*position);
-        }
-    }
+    void note_commit(entry& from, time_point sent_at, const std::optional<sql::log_position>& position);
 
-    /// A peer saw `id` prove its lead after `confirmed_at`.
+    /// A peer saw `id` prove its lead after `confirmed_at`. It counts less than
+    /// what this proxy found out itself about the server's log and lead.
     void believe(const std::string& id, time_point confirmed_at);
 
+    /// A peer knows that `id` had come to `position` while it led.
+    void note_told(const std::string& id, const sql::log_position& position) {
+        m_leader_log.note_told(id, position, boot_clock::now());
+    }
+
     /// A sample of a peer; its time is not later than the truth.
     void add_sample(const freshness_sample& sample) { m_floor.add(sample); }
 
     [[nodiscard]] const read_floor& floor() const noexcept { return m_floor; }
     [[nodiscard]] const std::string& primary() const noexcept { return m_primary; }
+    /// Whether the primary has proved its lead to this proxy or to a peer. What
+    /// the registry says of one that has just started again may not be so.
+    [[nodiscard]] bool lead_proven() const noexcept { return m_primary_at != time_point{}; }
     [[nodiscard]] std::size_t waiting() const noexcept { return m_line.size(); }
     [[nodiscard]] const std::map<std::string, std::unique_ptr<entry>, std::less<>>& entries() const noexcept {
         return m_entries;
@@ -266,7 +251,12 @@
     void note_opened(entry& at, const std::string& account);
     slot& add_slot(entry& at, std::unique_ptr<link> connection, const std::string& account);
     void learn_lead(slot& held, const sql::reply& from);
-    void note_log_lost(slot& held, const sql::log_position& position);
+    void note_primary(entry& from, time_point asked_at, const std::optional<sql::log_position>& position);
+    void take_lead(entry& from, time_point confirmed_at);
+    void note_log_lost(entry& at, const sql::log_position& named);
+    void drop_lead(const std::string& id);
+    [[nodiscard]] bool lacks_log(const entry& at, const sql::log_position& named, time_point asked_at) const;
+    [[nodiscard]] bool needs_witness(entry& at, const sql::log_position& named) const;
     void open_one(entry& at, std::string account = {});
     asio::awaitable<void> open(entry& at, std::string account);
     void take_back(slot& held);
@@ -345,5 +335,6 @@
 
 #include "cornellever/routing/service_pool.ipp"
 #include "cornellever/routing/service_pool_accounts.ipp"
+#include "cornellever/routing/service_pool_lead.ipp"
 #include "cornellever/routing/service_pool_line.ipp"
 #include "cornellever/routing/service_pool_primary.ipp"
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -20,7 +20,8 @@
         } else if (!item->draining) {
             at->draining_since.reset();
         }
-        if (m_primary.empty() && item->role == server_role::primary && item->id != m_without_log) {
+        const bool usable = item->id != m_without_log && !at->awaits_witness(now);
+        if (m_primary.empty() && item->role == server_role::primary && usable) {
             m_primary = item->id;
             m_primary_at = time_point{};
         } else if (claims_lead && m_primary != item->id && m_used) {
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -1,48 +1,9 @@
 #pragma once
 
-// Knowing the primary: proofs of its lead, looking for it, asking servers.
+// Asking servers whether they lead and how far they are; looking for the primary.
 
 namespace cornellever::routing {
 
-/// Takes from the last answer on a connection whether its server leads: one
-/// that opened a plain transaction does, and the connection is armed.
-template <link_connector Connector>
-void service_pool<Connector>::learn_lead(slot& held, const sql::reply& from) {
-    auto& at = *held.home;
-    if (from.ok() && from.state == sql::transaction_state::open) {
-        if (from.position && m_leader_log.shorter_at(at.server.id, *from.position, held.sent_at)) {
-            note_log_lost(held, *from.position);
-            return;
-        }
-        held.armed = true;
-        held.armed_at = held.sent_at;
-        note_primary(at, held.sent_at, from.position);
-    } else if (!from.ok() && from.why() == sql::refusal::not_primary) {
-        note_not_primary(at);
-    }
-}
-
-/// Its lead counts for nothing: another server that has the commits is to be
-/// promoted. It is asked again only now and then.
-template <link_connector Connector>
-void service_pool<Connector>::note_log_lost(slot& held, const sql::log_position& position) {
-    auto& at = *held.home;
-    const auto now = boot_clock::now();
-    held.connection->close();
-    at.since = now;
-    at.open_after = now + longest_backoff;
-    if (m_without_log != at.server.id) {
-        log_event(event::primary_lost, "service=" + m_service + " server=" + at.server.id +
-                                           " reason=log_lost position=" + sql::to_string(position) +
-                                           " furthest=" + sql::to_string(m_leader_log.furthest()));
-    }
-    m_without_log = at.server.id;
-    if (m_primary == at.server.id) {
-        m_primary.clear();
-        seek();
-    }
-}
-
 template <link_connector Connector>
 asio::awaitable<bool> service_pool<Connector>::prove_lead(slot& held, time_point until) {
     std::vector<sql::command> batch;
@@ -70,22 +31,6 @@
     make_idle(held);
 }
 
-template <link_connector Connector>
-void service_pool<Connector>::believe(const std::string& id, time_point confirmed_at) {
-    const auto found = m_entries.find(id);
-    if (confirmed_at <= m_primary_at || found == m_entries.end() || confirmed_at <= found->second->since) {
-        return;
-    }
-    m_primary_at = confirmed_at;
-    if (m_primary == id) {
-        return;
-    }
-    log_event(event::primary_found, "service=" + m_service + " server=" + id + " before=" + m_primary);
-    m_primary = id;
-    m_without_log.clear();
-    arm_idle(*found->second);
-}
-
 template <link_connector Connector>
 void service_pool<Connector>::arm_idle(entry& at) {
     for (auto& item : at.slots) {
@@ -209,7 +154,8 @@
     if (!answer || !answer->ok()) {
         co_return false;
     }
-    co_return !answer->position || !m_leader_log.shorter_at(id, *answer->position, asked_at);
+    const auto again = m_entries.find(id);
+    co_return !answer->position || again == m_entries.end() || !lacks_log(*again->second, *answer->position, asked_at);
 }
 
 template <link_connector Connector>
@@ -284,6 +230,7 @@
     primary_sight out;
     out.id = m_primary;
     out.confirmed_at = m_primary_at;
+    out.furthest = m_leader_log.furthest_of(m_primary);
     const auto found = m_entries.find(m_primary);
     if (found != m_entries.end()) {
         const auto& at = *found->second;
@@ -296,6 +243,8 @@
         out.heard_at = without->second->since;
         out.unreachable = true;
         out.refused = true;
+        out.log_lost = true;
+        out.furthest = m_leader_log.furthest_of(m_without_log);
     }
     return out;
 }
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -209,7 +209,8 @@
             log_decision(event::request_refused, run, backends.primary(), out.error_text());
             break;
         }
-        if ((want.primary || held->armed) && !run.writes()) {
+        const bool reads_at_primary = (want.primary || held->armed) && !run.writes();
+        if (reads_at_primary || (run.writes() && !backends.lead_proven())) {
             const bool armed = co_await arm(backends, held, run.until());
             if (!armed) {
                 held.release();
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -27,6 +27,12 @@
 
 namespace cornellever::session {
 
+/// The furthest position that a server named while it led.
+struct told_log {
+    std::string server;
+    sql::log_position furthest;
+};
+
 /// The traffic side of a proxy that serves statement sessions: the
 /// configuration in force, the pools, and the open sessions.
 /// Used from the traffic thread only.
@@ -68,6 +74,9 @@
         m_paths.note(service, through, heard_at);
     }
 
+    /// Another proxy knows how far a primary's log had come.
+    void note_told(const std::string& service, told_log what);
+
     /// Housekeeping of the pools and of sessions whose path was cut.
     void tick() {
         watch_paths();
@@ -198,6 +207,8 @@
     /// Ends when a configuration is known, or is not expected any more.
     asio::steady_timer m_configuration_due;
     std::map<std::string, std::unique_ptr<pool>, std::less<>> m_pools;
+    /// By service, for pools that are not made yet.
+    std::map<std::string, told_log, std::less<>> m_told_logs;
     std::set<conversation*> m_sessions;
     std::uint64_t m_last_session{0};
     bool m_closing{false};
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -56,12 +56,24 @@
     auto& found = m_pools[service];
     if (found == nullptr) {
         found = std::make_unique<pool>(m_executor, m_connector, service, m_data_center);
+        if (const auto told = m_told_logs.extract(service)) {
+            found->note_told(told.mapped().server, told.mapped().furthest);
+        }
         share_connections_anew();
         share_servers();
     }
     return *found;
 }
 
+template <routing::link_connector Connector>
+void traffic<Connector>::note_told(const std::string& service, told_log what) {
+    if (const auto found = m_pools.find(service); found != m_pools.end()) {
+        found->second->note_told(what.server, what.furthest);
+    } else if (m_config.services.contains(service)) {
+        m_told_logs.insert_or_assign(service, std::move(what));
+    }
+}
+
 template <routing::link_connector Connector>
 sql::transaction_state traffic<Connector>::state_of(const conversation& with) {
     if (!with.open) {
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -140,6 +140,15 @@
                                  .refused = true,
                                  .sample = cluster::aged_sample{8ms, {2, 66}}});
     message.primaries.push_back({.service = "other"});
+    message.primaries.push_back({.service = "emptied",
+                                 .primary = "q",
+                                 .log_lost = true,
+                                 .sample = cluster::aged_sample{8ms, {2, 66}},
+                                 .furthest = sql::log_position{2, 70}});
+    message.primaries.push_back({.service = "usual",
+                                 .primary = "r",
+                                 .sample = cluster::aged_sample{8ms, {2, 66}},
+                                 .furthest = sql::log_position{2, 66}});
     message.heard.push_back({"proxy-2", 40ms});
     const auto back = cluster::decode(cluster::encode(message));
     BOOST_TEST_REQUIRE(back.has_value());
@@ -147,8 +156,13 @@
     BOOST_TEST(!back->store_reachable);
     BOOST_TEST((back->config_age == 120ms));
     BOOST_TEST(!back->registry_age.has_value());
-    BOOST_TEST_REQUIRE(back->primaries.size() == 2U);
+    BOOST_TEST_REQUIRE(back->primaries.size() == 4U);
     BOOST_TEST(back->primaries[0].refused);
+    BOOST_TEST(!back->primaries[0].log_lost);
+    BOOST_TEST(!back->primaries[0].furthest.has_value());
+    BOOST_TEST(back->primaries[2].log_lost);
+    BOOST_TEST((back->primaries[2].furthest == sql::log_position{2, 70}));
+    BOOST_TEST((back->primaries[3].furthest == sql::log_position{2, 66}));
     BOOST_TEST((back->primaries[0].sample->position == sql::log_position{2, 66}));
     BOOST_TEST(back->primaries[1].primary.empty());
     BOOST_TEST(back->cluster == 77U);
@@ -176,13 +190,14 @@
 
 BOOST_AUTO_TEST_CASE(anything_else_is_not_a_message) {
     for (const auto* bytes :
-         {"", "cl3", "cl2 q 1 7 a d 1 1 1 - - 1", "cl3 x 1 7 a d 1 1 1 - - 1", "cl3 q one 7 a d 1 1 1 - - 1",
-          "cl3 q 1 seven a d 1 1 1 - - 1", "cl3 q 1 7 a d 1 1 1 1", "cl3 q 1 7 a d 1 1 1 soon - 1",
-          "cl3 q 1 7 a d 1 1 1 - - 1 stock p 1", "cl3 q 1 7 a d 1 1 1 - - 1 stock p 1 1 .s 5 1",
-          "cl3 q 1 7 a d 1 1 1 - - 1 /", "cl3 q 1 7 a d 1 1 1 - - 1 / b", "cl3 q 1 7 a d 1 1 1 - - 1 / b soon"}) {
+         {"", "cl4", "cl2 q 1 7 a d 1 1 1 - - 1", "cl4 x 1 7 a d 1 1 1 - - 1", "cl4 q one 7 a d 1 1 1 - - 1",
+          "cl4 q 1 seven a d 1 1 1 - - 1", "cl4 q 1 7 a d 1 1 1 1", "cl4 q 1 7 a d 1 1 1 soon - 1",
+          "cl4 q 1 7 a d 1 1 1 - - 1 stock p 1", "cl4 q 1 7 a d 1 1 1 - - 1 stock p 1 1 .s 5 1",
+          "cl4 q 1 7 a d 1 1 1 - - 1 stock p 1 1 .f 5", "cl4 q 1 7 a d 1 1 1 - - 1 /", "cl4 q 1 7 a d 1 1 1 - - 1 / b",
+          "cl4 q 1 7 a d 1 1 1 - - 1 / b soon"}) {
         BOOST_TEST(!cluster::decode(bytes), bytes);
     }
-    BOOST_TEST(cluster::decode("cl3 q 1 7 a d 1 1 1 - 5 1").has_value());
+    BOOST_TEST(cluster::decode("cl4 q 1 7 a d 1 1 1 - 5 1").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_proxy_is_known_from_its_heartbeat_and_forgotten_when_silent) {
--- a/tests/unit/rebirth.cpp
+++ b/tests/unit/rebirth.cpp
@@ -172,6 +172,84 @@
     BOOST_TEST(proxy.host.pool_for("stock").primary() == "r1");
 }
 
+// Guards against reads of an empty database at a proxy that started after the primary lost its log.
+BOOST_AUTO_TEST_CASE(a_proxy_that_starts_later_does_not_use_a_primary_without_its_log) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(proxy.server("p").of("a").empty());
+    const auto sight = proxy.host.pool_for("stock").sight();
+    BOOST_TEST(sight.id == "p");
+    BOOST_TEST(sight.log_lost);
+}
+
+// Guards against a write that is acknowledged by a primary without its log and lost with the promotion.
+BOOST_AUTO_TEST_CASE(a_proxy_that_starts_later_writes_nothing_to_a_primary_without_its_log) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(proxy.server("p").of("w").empty());
+}
+
+// Guards against refusing a service that has no commits yet.
+BOOST_AUTO_TEST_CASE(a_new_service_is_served_as_soon_as_its_replicas_say_that_they_are_empty) {
+    proxy_in_memory proxy;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        proxy.server(id).position = {1, 0};
+    }
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(caller.answers[0].ok());
+    BOOST_TEST(proxy.host.pool_for("stock").primary() == "p");
+}
+
+// Guards against the use of an empty primary by a proxy that another one told of its commits, where no replica answers.
+BOOST_AUTO_TEST_CASE(a_proxy_that_was_told_of_commits_does_not_use_a_primary_that_lacks_them) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 3};
+    proxy.server("r1").connect_fails = routing::connect_failure::refused;
+    proxy.server("r2").connect_fails = routing::connect_failure::refused;
+    proxy.host.note_told("stock", {"p", {1, 9}});
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(proxy.server("p").of("a").empty());
+}
+
+// Guards against a peer's word that undoes what this proxy found out about the primary's log.
+BOOST_AUTO_TEST_CASE(a_peer_that_knows_no_position_does_not_bring_back_a_primary_without_its_log) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    auto& pool = proxy.host.pool_for("stock");
+    pool.believe("p", boot_clock::now());
+    BOOST_TEST(pool.primary().empty());
+    BOOST_TEST(pool.sight().log_lost);
+}
+
+// Guards against a record of an earlier lead that makes a server unusable when it leads again.
+BOOST_AUTO_TEST_CASE(what_a_server_named_while_it_led_counts_until_another_one_leads) {
+    routing::leader_log log;
+    const auto now = boot_clock::now();
+    log.note("p", {1, 9}, now);
+    log.note_told("r1", {1, 7}, now);
+    BOOST_TEST(log.shorter_at("p", {1, 8}, now + 1ms));
+    log.note_leader("r1");
+    BOOST_TEST(!log.shorter_at("p", {1, 8}, now + 1ms));
+    BOOST_TEST(!log.furthest_of("r1").has_value());
+    log.note_told("p", {1, 9}, now);
+    BOOST_TEST(!log.shorter_at("p", {1, 8}, now + 1ms));
+}
+
 // Servers of an older kind do not tell when they started, and a row that was
 // written before may come late: neither is a rebirth.
 BOOST_AUTO_TEST_CASE(a_start_that_is_unknown_or_earlier_is_no_rebirth) {
