A primary that lost its log is replaced by whoever knows, without a vote

What callers saw: a service that proxies refuse, or read stale from, for as long as most proxies take the empty primary for a healthy one.

Cause: the judge asks for a majority, and any peer that sees the server vetoes. That is right for silence, which may be one proxy's own path. A log that got shorter is proof, and those that see the server are just those that do not know its earlier position. Besides, the finding was reported as a refusal whose age began anew with every question, each 0.6 s, so that the verdict changed back before the turn of any but the first proxies in the order of names came.

Change: reports say `log_lost`; a proxy that knows so judges the primary lost whatever its peers see.

Tests: judging_a_primary/one_that_lost_its_log_is_lost_also_where_others_see_it (did not compile before: views had no such word).

--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -20,7 +20,7 @@
     }
     if (at.seen && at.seen->primary.id == at.primary) {
         const auto& sight = at.seen->primary;
-        evidence.own = primary_view{age(sight.heard_at), sight.unreachable, sight.refused};
+        evidence.own = primary_view{age(sight.heard_at), sight.unreachable, sight.refused, sight.log_lost};
     }
     for (const auto& [name, item] : m_members.peers()) {
         if (!membership::is_alive(item, now)) {
@@ -28,7 +28,8 @@
         }
         for (const auto& report : item.primaries) {
             if (report.service == service && report.primary == at.primary) {
-                views.push_back({report.heard_age + age(item.reported_at), report.unreachable, report.refused});
+                views.push_back(
+                    {report.heard_age + age(item.reported_at), report.unreachable, report.refused, report.log_lost});
             }
         }
     }
@@ -98,6 +99,7 @@
         log_event(event::primary_judged,
                   "service=" + service + " primary=" + at.primary + " verdict=" + std::string{to_string(verdict)} +
                       " peers=" + std::to_string(views.size()) +
+                      (at.seen && at.seen->primary.log_lost ? " log_lost=1" : "") +
                       (at.seen ? " heard_ms=" + std::to_string(to_ms(now - at.seen->primary.heard_at)) : ""));
     }
     if (verdict == primary_verdict::fine || now - at.judged_since < turn_delay(service)) {
--- a/src/cornellever/cluster/primary_judge.cpp
+++ b/src/cornellever/cluster/primary_judge.cpp
@@ -57,6 +57,9 @@
             return verdict;
         }
     }
+    if (evidence.own && evidence.own->log_lost) {
+        return primary_verdict::lost;
+    }
     if (evidence.own && down(*evidence.own)) {
         if (std::ranges::any_of(evidence.peers, sees_it)) {
             return primary_verdict::fine;
--- a/src/cornellever/cluster/primary_judge.hpp
+++ b/src/cornellever/cluster/primary_judge.hpp
@@ -16,6 +16,8 @@
     bool unreachable{false};
     /// Its VM said that no process listens.
     bool refused{false};
+    /// It answers and leads, without the commits that it had.
+    bool log_lost{false};
 };
 
 /// What the registry says of it.
@@ -47,7 +49,8 @@
 
 /// Judges whether a primary has to be replaced. A primary that only some
 /// proxies can't reach is not lost: replacing it would lose the commits that
-/// its replicas have not received.
+/// its replicas have not received. One that lost its log is lost whoever reaches
+/// it: those that know no earlier position take it for a healthy one.
 [[nodiscard]] primary_verdict judge(const primary_evidence& evidence);
 
 [[nodiscard]] constexpr std::string_view to_string(primary_verdict verdict) noexcept {
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -97,6 +97,13 @@
     BOOST_TEST((judge(silent, {}, 0) == primary_verdict::lost));
 }
 
+// Guards against an empty primary that is kept because most proxies know no earlier position of it.
+BOOST_AUTO_TEST_CASE(one_that_lost_its_log_is_lost_also_where_others_see_it) {
+    const primary_view without_log{10ms, true, true, true};
+    BOOST_TEST((judge(without_log, {seen, seen, seen}) == primary_verdict::lost));
+    BOOST_TEST((judge(seen, {without_log, seen}) == primary_verdict::fine));
+}
+
 BOOST_AUTO_TEST_CASE(one_that_drains_is_to_be_replaced_while_it_serves) {
     primary_evidence evidence;
     evidence.own = seen;
