An empty server is not promoted while another may hold the only log

Those that do not answer did not count, so that an empty one may be the best while a server with the log is away for a moment.

Change: the survey tells who did not answer. Where all that did are empty, the promotion waits, for 5 s from the verdict; callers are refused meanwhile. Where all answered and all are empty, nothing is left to wait for and one is promoted at once: its term ends the history that is gone. A server that holds entries is promoted at once, as before, also where another one is silent.

Tests: promotions/an_empty_server_is_promoted_only_where_none_that_is_silent_* (new functions; the old choice took the empty one).

--- a/src/cornellever/cluster/promotion.hpp
+++ b/src/cornellever/cluster/promotion.hpp
@@ -12,6 +12,7 @@
 #include "cornellever/cluster/metadata_store.hpp"
 #include "cornellever/cluster/promotion_claim.hpp"
 #include "cornellever/cluster/successor.hpp"
+#include "cornellever/core/boot_clock.hpp"
 #include "cornellever/core/chart.hpp"
 #include "cornellever/core/log.hpp"
 
@@ -28,7 +29,7 @@
 /// The servers of a service, as a promotion needs them.
 template <typename T>
 concept promotion_servers = requires(T servers, std::string text, std::chrono::milliseconds limit) {
-    /// The reports of all replicas that answer.
+    /// A report of each registered server but the second argument's.
     { servers.survey(text, text) } -> std::same_as<asio::awaitable<std::vector<replica_report>>>;
     /// Whether a server answers as the primary within `limit`.
     { servers.leads_now(text, text, limit) } -> std::same_as<asio::awaitable<bool>>;
@@ -65,9 +66,10 @@
         , m_claimant{std::move(claimant)} {}
 
     /// Runs the chart once, to replace `old` (empty when no primary is known),
-    /// which is judged lost or leaving.
-    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why) {
-        attempt now{.service = std::move(service), .old = std::move(old), .why = why};
+    /// which has been judged lost or leaving for `judged_for`.
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why,
+                                           boot_clock::time_point::duration judged_for = {}) {
+        attempt now{.service = std::move(service), .old = std::move(old), .why = why, .judged_for = judged_for};
         std::string state = m_steps.start();
         std::string event;
         while (!m_steps.action(state).empty()) {
@@ -86,6 +88,7 @@
         std::string service;
         std::string old;
         primary_verdict why{primary_verdict::lost};
+        boot_clock::time_point::duration judged_for{};
         std::string successor{};
         std::uint64_t token{0};
         int orders{0};
@@ -95,6 +98,9 @@
     /// nobody else begins one for the same primary.
     static constexpr std::chrono::milliseconds turn_lasts{2600};
     static constexpr std::chrono::milliseconds lead_wait{1400};
+    /// How long a server that may hold the only log is waited for: longer than
+    /// most take to start again. Callers are refused meanwhile.
+    static constexpr std::chrono::milliseconds log_wait{5000};
     /// A new connection (12 to 30 ms) and a question that takes no slot; a
     /// primary that went dark costs this much of the gap (1.2 to 2.0 s).
     static constexpr std::chrono::milliseconds look_limit{100};
@@ -130,7 +136,11 @@
         }
         const auto chosen = choose_successor(reports, now.why);
         if (!chosen) {
-            co_return reports.empty() ? "none_answered" : "all_leave";
+            const bool any = std::ranges::any_of(reports, &replica_report::answered);
+            co_return any ? "all_leave" : "none_answered";
+        }
+        if (may_hold_only_log(reports) && now.judged_for < log_wait) {
+            co_return "none_answered";
         }
         now.successor = chosen->id;
         co_return "chosen";
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -17,6 +17,8 @@
     bool draining{false};
     /// It leads already: somebody else's promotion took effect.
     bool leads{false};
+    /// Nothing else is known of one that did not answer in time.
+    bool answered{true};
 };
 
 /// The replica to promote: one that stays, with the longest log. A leaving one
@@ -26,4 +28,8 @@
 [[nodiscard]] std::optional<replica_report> choose_successor(std::span<const replica_report> replicas,
                                                              primary_verdict why);
 
+/// Whether a registered server that has not answered may hold the only log: all
+/// that did are empty. Promoting one of them would roll back every commit.
+[[nodiscard]] bool may_hold_only_log(std::span<const replica_report> replicas);
+
 } // namespace cornellever::cluster
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -148,8 +148,8 @@
 
     asio::awaitable<void> ask_one(pool& backends, std::string id, bool draining, std::shared_ptr<survey_state> into) {
         auto answer = co_await backends.ask(id, sql::own(sql::statement_kind::status), survey_limit);
+        replica_report report{.id = id, .received = {}, .draining = draining, .answered = answer.has_value()};
         if (answer) {
-            replica_report report{.id = id, .received = {}, .draining = draining};
             if (const auto status = Connector::status_of(*answer)) {
                 report.received = status->received;
                 report.leads = status->leads;
@@ -157,8 +157,8 @@
                 // Too busy to tell; what it has applied it has received.
                 report.received = *answer->position;
             }
-            into->reports.push_back(std::move(report));
         }
+        into->reports.push_back(std::move(report));
         if (--into->pending == 0) {
             into->done.cancel();
         }
@@ -175,14 +175,20 @@
             }
         }
         state->pending = servers.size();
-        for (auto& [id, draining] : servers) {
+        for (const auto& [id, draining] : servers) {
             asio::co_spawn(m_executor, ask_one(backends, id, draining, state), asio::detached);
         }
         if (!servers.empty()) {
             boost::system::error_code ignored;
             co_await state->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        co_return state->reports;
+        auto reports = state->reports;
+        for (const auto& [id, draining] : servers) {
+            if (std::ranges::find(reports, id, &replica_report::id) == reports.end()) {
+                reports.push_back({.id = id, .received = {}, .draining = draining, .answered = false});
+            }
+        }
+        co_return reports;
     }
 
     asio::awaitable<bool> ask_lead(std::string service, std::string id, std::chrono::milliseconds limit) {
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -329,6 +329,21 @@
     }
 }
 
+// Guards against a promotion of an empty server, which ends all commits, while another may still hold them.
+BOOST_AUTO_TEST_CASE(an_empty_server_is_promoted_only_where_none_that_is_silent_may_hold_the_log) {
+    using cluster::replica_report;
+    const replica_report empty{.id = "empty", .received = {2, 0}};
+    const replica_report silent{.id = "silent", .answered = false};
+    const replica_report full{.id = "full", .received = {1, 30}};
+    const auto may_hold = [](std::vector<replica_report> of) { return cluster::may_hold_only_log(of); };
+    BOOST_TEST(may_hold({empty, silent}));
+    BOOST_TEST(!may_hold({empty, empty}));
+    BOOST_TEST(!may_hold({full, silent}));
+    const std::vector<replica_report> replicas{silent, empty};
+    BOOST_TEST(cluster::choose_successor(replicas, cluster::primary_verdict::lost)->id == "empty");
+    BOOST_TEST(!cluster::choose_successor(std::vector{silent}, cluster::primary_verdict::lost));
+}
+
 BOOST_AUTO_TEST_CASE(a_claim_is_read_as_it_was_written) {
     const cluster::promotion_claim claim{"a/1", "", "r1", 7, 1234ms};
     const auto back = cluster::decode_claim(cluster::encode(claim));
