A primary that proves its lead and refuses writes is not asked without end

Cause: a refused write clears the primary and starts the search for one, whose next question the same server answers with a proof of its lead; a peer's word does the same. The write that waits is then sent there again, without a pause or a limit but its time.

Change: a server that was taken for the primary and refused is taken for it again only by a proof asked for after a pause, of 40 ms and twice as long with each refusal, up to 0.64 s (lead_doubt); an acknowledged commit ends the doubt. A statement that the same server refuses twice is refused at once with a time to come back: it has not run. Another server's proof counts at once, so that a failover is found as fast as before.

Tests: rebirth/a_write_that_the_primary_refuses_twice_is_refused_at_once (failed before), a_primary_that_refuses_its_lead_is_taken_for_it_again_ever_less_often.

--- a/src/cornellever/routing/connection_want.hpp
+++ b/src/cornellever/routing/connection_want.hpp
@@ -25,6 +25,9 @@
     boot_clock::time_point until{};
     /// Servers that failed this request before.
     std::vector<std::string> avoid{};
+    /// The server that was taken for the primary and refused this request as
+    /// not being it.
+    std::string refused_by{};
 };
 
 /// What a proxy has seen of a service's primary.
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -12,6 +12,7 @@
 
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/routing/backend_link.hpp"
+#include "cornellever/routing/lead_doubt.hpp"
 #include "cornellever/routing/model.hpp"
 #include "cornellever/routing/replica_progress.hpp"
 #include "cornellever/session/connection_memory.hpp"
@@ -105,6 +106,7 @@
     std::size_t in_flight{0};
     /// How far it has applied the log, where it is a replica.
     replica_progress progress;
+    lead_doubt doubt;
     /// Since when it leads with an empty log while another registered server,
     /// which may hold its commits, has not answered.
     std::optional<time_point> empty_since;
--- a/src/cornellever/routing/service_pool_lead.ipp
+++ b/src/cornellever/routing/service_pool_lead.ipp
@@ -93,6 +93,7 @@
 template <link_connector Connector>
 void service_pool<Connector>::note_not_primary(entry& from) {
     if (m_primary == from.server.id) {
+        from.doubt.note_refusal(boot_clock::now());
         log_event(event::primary_lost, "service=" + m_service + " server=" + m_primary + " reason=refused_lead");
         drop_lead(from.server.id);
     }
@@ -105,7 +106,7 @@
     if (position) {
         m_floor.add({asked_at, *position});
     }
-    if (from.gone) {
+    if (from.gone || !from.doubt.admits(asked_at)) {
         return;
     }
     take_lead(from, asked_at);
@@ -121,6 +122,7 @@
         note_log_lost(from, *position);
         return;
     }
+    from.doubt.clear();
     note_primary(from, sent_at, position);
     if (position) {
         m_floor.note_commit(*position);
@@ -134,7 +136,7 @@
         return;
     }
     auto& at = *found->second;
-    if (!at.awaits_witness(boot_clock::now())) {
+    if (!at.awaits_witness(boot_clock::now()) && at.doubt.admits(confirmed_at)) {
         take_lead(at, confirmed_at);
     }
 }
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -91,8 +91,9 @@
                                                   std::size_t wanted, time_point until);
     verdict judge_read(pool& backends, lease& held, const statement_run& run, routing::connection_want& want,
                        const routing::link_reply& got, sql::reply& out);
-    verdict judge_write(pool& backends, lease& held, const statement_run& run, const routing::link_reply& got,
-                        sql::reply& out);
+    verdict judge_write(pool& backends, lease& held, const statement_run& run, routing::connection_want& want,
+                        const routing::link_reply& got, sql::reply& out);
+    [[nodiscard]] static bool refused_again(routing::connection_want& want, const std::string& server);
     asio::awaitable<bool> pin(transaction& inside, const statement_run& run, sql::reply& refusal);
     asio::awaitable<bool> open_read_only(pool& backends, lease& held, const std::optional<sql::log_position>& floor,
                                          time_point until);
@@ -114,6 +115,8 @@
     /// A new connection (30 ms) and a round trip, or a peer's answer.
     static constexpr std::chrono::milliseconds sample_wait{120};
     static constexpr std::chrono::milliseconds sample_poll{10};
+    /// About what it takes to find another primary where one was promoted.
+    static constexpr std::chrono::milliseconds refused_lead_pause{100};
 
     traffic_counters& m_counters;
 };
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -226,8 +226,8 @@
         auto batch = batch_for(held, run, want.floor, wanted);
         const auto until = run.writes() ? run.until() : std::min(run.until(), boot_clock::now() + read_try_limit);
         auto got = co_await exchange(backends, held, std::move(batch), wanted, until);
-        const auto what =
-            run.writes() ? judge_write(backends, held, run, got, out) : judge_read(backends, held, run, want, got, out);
+        const auto what = run.writes() ? judge_write(backends, held, run, want, got, out)
+                                       : judge_read(backends, held, run, want, got, out);
         if (what == verdict::answered && out.ok()) {
             log_served(backends, held, run, want.primary ? std::nullopt : want.floor);
         }
@@ -241,6 +241,13 @@
     co_return out;
 }
 
+/// Whether a server refuses a request as not being the primary a second time:
+/// sent once more, it would go round until its caller's time is over.
+template <routing::link_connector Connector>
+bool statement_engine<Connector>::refused_again(routing::connection_want& want, const std::string& server) {
+    return std::exchange(want.refused_by, server) == server;
+}
+
 template <routing::link_connector Connector>
 typename statement_engine<Connector>::verdict
 statement_engine<Connector>::judge_read(pool& backends, lease& held, const statement_run& run,
@@ -267,6 +274,10 @@
             break;
         case sql::refusal::not_primary:
             backends.note_not_primary(at);
+            if (refused_again(want, id)) {
+                out = refused_for_now("the primary refuses its lead", refused_lead_pause);
+                return verdict::answered;
+            }
             break;
         case sql::refusal::overloaded:
             if (want.primary) {
@@ -306,7 +317,8 @@
 template <routing::link_connector Connector>
 typename statement_engine<Connector>::verdict
 statement_engine<Connector>::judge_write(pool& backends, lease& held, const statement_run& run,
-                                         const routing::link_reply& got, sql::reply& out) {
+                                         routing::connection_want& want, const routing::link_reply& got,
+                                         sql::reply& out) {
     auto& at = *held->home;
     const auto& id = at.server.id;
     if (!got) {
@@ -340,6 +352,10 @@
                       sql::transaction_state::idle);
         return verdict::answered;
     }
+    if (why == sql::refusal::not_primary && refused_again(want, id)) {
+        out = refused_for_now("the primary refuses its lead", refused_lead_pause);
+        return verdict::answered;
+    }
     log_decision(event::statement_retried, run, id, sql::to_string(why));
     if (why == sql::refusal::overloaded || boot_clock::now() >= run.until()) {
         out = refused_for_now("server busy", std::chrono::milliseconds{50});
--- a/tests/unit/rebirth.cpp
+++ b/tests/unit/rebirth.cpp
@@ -250,6 +250,37 @@
     BOOST_TEST(!log.shorter_at("p", {1, 8}, now + 1ms));
 }
 
+// Guards against a statement that is sent again without end to a server that proves its lead and refuses writes.
+BOOST_AUTO_TEST_CASE(a_write_that_the_primary_refuses_twice_is_refused_at_once) {
+    proxy_in_memory proxy;
+    proxy.server("p").refuse = 1000;
+    proxy.server("p").refuse_with = sql::refusal::not_primary;
+    caller_script caller{.events = {opening("strict"), ask("w", statement_kind::write, "1 x")}};
+    const auto begun = boot_clock::now();
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(proxy.server("p").of("w").size() <= 2U);
+    BOOST_TEST(to_ms(boot_clock::now() - begun) < 250);
+}
+
+// Guards against a storm of questions and log lines about a server that proves its lead and refuses writes.
+BOOST_AUTO_TEST_CASE(a_primary_that_refuses_its_lead_is_taken_for_it_again_ever_less_often) {
+    routing::lead_doubt doubt;
+    const auto begun = boot_clock::now();
+    int taken = 0;
+    for (auto now = begun; now < begun + 4s; now += 1ms) {
+        if (doubt.admits(now)) {
+            ++taken;
+            doubt.note_refusal(now);
+        }
+    }
+    BOOST_TEST(taken >= 5);
+    BOOST_TEST(taken <= 12);
+    doubt.clear();
+    BOOST_TEST(doubt.admits(begun));
+}
+
 // Servers of an older kind do not tell when they started, and a row that was
 // written before may come late: neither is a rebirth.
 BOOST_AUTO_TEST_CASE(a_start_that_is_unknown_or_earlier_is_no_rebirth) {
