--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -34,7 +34,8 @@
     : m_io{io}
     , m_settings{std::move(settings)}
     , m_random{m_settings.seed}
-    , m_odd_random{~m_settings.seed} {
+    , m_odd_random{~m_settings.seed}
+    , m_emptied_random{m_settings.seed ^ 0x656d7074U} {
     const auto at = [this](unsigned last, unsigned short port) {
         return tcp::endpoint{asio::ip::make_address(address(last)), port};
     };
@@ -418,6 +419,42 @@
                             }});
 }
 
+/// A primary starts again with nothing, before, while and after some, most or
+/// all proxies are killed; at times a second server of the service does too.
+asio::awaitable<void> scenario::emptied_phase() {
+    const auto draw = [this](std::uint64_t limit) { return m_emptied_random() % limit; };
+    const auto begun = boot_clock::now();
+    for (int round = 0; round < m_settings.emptied; ++round) {
+        auto& service = *m_services[draw(m_services.size())];
+        const auto killed_of_four = 1 + draw(4);
+        const auto kill_after = std::chrono::milliseconds{draw(900)};
+        const auto empty_after = std::chrono::milliseconds{draw(900)};
+        disrupt();
+        for (auto& item : m_proxies) {
+            if (draw(4) < killed_of_four) {
+                after(kill_after, [&item] { item->signal(SIGKILL); });
+            }
+        }
+        const auto away = std::chrono::milliseconds{20 + draw(900)};
+        const auto strike_at = [this, away](emulated_server& server) {
+            if (!server.draining && server.running()) {
+                server.crash_and_forget();
+                after(away, [&server] { server.start(); });
+            }
+        };
+        after(empty_after, [&service, strike_at] { strike_at(service.primary()); });
+        if (draw(3) == 0) {
+            auto& second = *service.servers()[draw(service.servers().size())];
+            after(empty_after + std::chrono::milliseconds{500 + draw(3000)},
+                  [&second, strike_at] { strike_at(second); });
+        }
+        std::printf("%6lld ms %s loses its log after %lld ms, away for %lld; %llu of 4 proxies killed after %lld\n",
+                    to_ms(boot_clock::now() - begun), service.name().c_str(), to_ms(empty_after), to_ms(away),
+                    static_cast<unsigned long long>(killed_of_four), to_ms(kill_after));
+        co_await sleep_for(std::chrono::milliseconds{4000 + draw(3000)});
+    }
+}
+
 void scenario::list_faults() {
     list_odd_faults();
     list_process_faults();
@@ -533,6 +570,7 @@
     }
     co_await phase(m_settings.planned, true);
     co_await phase(m_settings.faulty, false);
+    co_await emptied_phase();
     co_await recover();
     // Under their load a request may be refused for want of a connection.
     m_stop = true;
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -22,6 +22,8 @@
     std::uint64_t seed{1};
     std::chrono::seconds planned{6};
     std::chrono::seconds faulty{12};
+    /// Rounds in which a primary loses its log while proxies are killed.
+    int emptied{0};
     std::size_t proxies{5};
     std::size_t callers{24};
 };
@@ -56,6 +58,7 @@
     asio::awaitable<void> watch_readiness(proxy_process& at);
     asio::awaitable<void> phase(std::chrono::seconds length, bool planned_only);
     asio::awaitable<void> later(std::chrono::milliseconds when, std::function<void()> what);
+    asio::awaitable<void> emptied_phase();
     asio::awaitable<void> recover();
     asio::awaitable<void> check_recovered();
     asio::awaitable<void> stop_all();
@@ -94,6 +97,7 @@
     /// a seed's order of the others stays what it was.
     std::vector<fault> m_odd_faults;
     std::mt19937_64 m_odd_random;
+    std::mt19937_64 m_emptied_random;
     std::map<std::string, std::string> m_published;
     std::map<std::string, time_point> m_down_since;
     std::uint64_t m_config_version{10};
