A lost log shows also by entries of an earlier term, and beside an older primary's row

A survey answered "leads already" for the empty server.

Change: entries of any term contradict an empty log. An empty server that was promoted over them on purpose has nothing that another promotion could lose. While a primary is known to lack its log, a row alone makes no other server the primary. A survey does not end with an empty leader where another server holds entries.

Tests (failed before): rebirth/entries_of_an_earlier_term_*, an_older_primarys_row_does_not_hide_*; promotions/a_server_that_leads_without_a_log_* (new function).

--- a/src/cornellever/cluster/promotion.hpp
+++ b/src/cornellever/cluster/promotion.hpp
@@ -130,7 +130,7 @@
     asio::awaitable<std::string> survey(attempt& now) {
         const auto reports = co_await m_servers.survey(now.service, now.old);
         const auto leading = std::ranges::find_if(reports, [](const auto& item) { return item.leads; });
-        if (leading != reports.end()) {
+        if (leading != reports.end() && !lacks_entries_of(*leading, reports)) {
             now.successor = leading->id;
             co_return "leads_already";
         }
--- a/src/cornellever/cluster/successor.cpp
+++ b/src/cornellever/cluster/successor.cpp
@@ -4,6 +4,14 @@
 
 namespace cornellever::cluster {
 
+namespace {
+
+bool holds_entries(const replica_report& item) {
+    return item.answered && item.received.number > 0;
+}
+
+} // namespace
+
 std::optional<replica_report> choose_successor(std::span<const replica_report> replicas, primary_verdict why) {
     const auto better = [](const replica_report& left, const replica_report& right) {
         if (left.answered != right.answered) {
@@ -22,9 +30,12 @@
 }
 
 bool may_hold_only_log(std::span<const replica_report> replicas) {
-    const auto holds_entries = [](const replica_report& item) { return item.answered && item.received.number > 0; };
     const auto silent = [](const replica_report& item) { return !item.answered; };
     return std::ranges::none_of(replicas, holds_entries) && std::ranges::any_of(replicas, silent);
 }
 
+bool lacks_entries_of(const replica_report& leading, std::span<const replica_report> others) {
+    return !holds_entries(leading) && std::ranges::any_of(others, holds_entries);
+}
+
 } // namespace cornellever::cluster
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -32,4 +32,8 @@
 /// that did are empty. Promoting one of them would roll back every commit.
 [[nodiscard]] bool may_hold_only_log(std::span<const replica_report> replicas);
 
+/// Whether a server leads with an empty log while another one holds entries: it
+/// started again with nothing.
+[[nodiscard]] bool lacks_entries_of(const replica_report& leading, std::span<const replica_report> others);
+
 } // namespace cornellever::cluster
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -20,8 +20,9 @@
         } else if (!item->draining) {
             at->draining_since.reset();
         }
-        const bool usable = item->id != m_without_log && !at->awaits_witness(now);
-        if (m_primary.empty() && item->role == server_role::primary && usable) {
+        // Beside a primary that lost its log, an older one's row may still be there.
+        const bool doubtful = !m_without_log.empty() || at->awaits_witness(now);
+        if (m_primary.empty() && item->role == server_role::primary && !doubtful) {
             m_primary = item->id;
             m_primary_at = time_point{};
         } else if (claims_lead && m_primary != item->id && m_used) {
--- a/src/cornellever/routing/service_pool_lead.ipp
+++ b/src/cornellever/routing/service_pool_lead.ipp
@@ -31,8 +31,9 @@
 }
 
 /// Whether a server that leads, asked at `asked_at`, lacks commits that it had:
-/// it named less than before, or it is empty while another server holds entries
-/// of its term, which only came from it.
+/// it named less than before, or it is empty while another server holds entries.
+/// An empty log that was promoted over those is no better: with the other one
+/// leading, nothing is lost.
 template <link_connector Connector>
 bool service_pool<Connector>::lacks_log(const entry& at, const sql::log_position& named, time_point asked_at) const {
     if (m_leader_log.shorter_at(at.server.id, named, asked_at)) {
@@ -41,7 +42,7 @@
     return named.number == 0 && std::ranges::any_of(m_entries, [&](const auto& item) {
                const auto& progress = item.second->progress;
                return item.second.get() != &at && progress.applied() && progress.applied()->number > 0 &&
-                      progress.applied()->term >= named.term && progress.seen_at() < asked_at;
+                      progress.seen_at() < asked_at;
            });
 }
 
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -344,6 +344,17 @@
     BOOST_TEST(!cluster::choose_successor(std::vector{silent}, cluster::primary_verdict::lost));
 }
 
+// Guards against an empty server whose lead counts although another one holds the log.
+BOOST_AUTO_TEST_CASE(a_server_that_leads_without_a_log_does_not_end_a_promotion) {
+    using cluster::replica_report;
+    const replica_report empty{.id = "empty", .received = {2, 0}, .leads = true};
+    const replica_report before{.id = "before", .received = {1, 30}};
+    BOOST_TEST(cluster::lacks_entries_of(empty, std::vector{empty, before}));
+    BOOST_TEST(
+        !cluster::lacks_entries_of(empty, std::vector{empty, replica_report{.id = "silent", .answered = false}}));
+    BOOST_TEST(!cluster::lacks_entries_of(before, std::vector{empty, before}));
+}
+
 BOOST_AUTO_TEST_CASE(a_claim_is_read_as_it_was_written) {
     const cluster::promotion_claim claim{"a/1", "", "r1", 7, 1234ms};
     const auto back = cluster::decode_claim(cluster::encode(claim));
--- a/tests/unit/rebirth.cpp
+++ b/tests/unit/rebirth.cpp
@@ -236,6 +236,32 @@
     BOOST_TEST(pool.sight().log_lost);
 }
 
+// Guards against an empty primary that counts as healthy because the only log left is of an earlier term.
+BOOST_AUTO_TEST_CASE(entries_of_an_earlier_term_show_that_an_empty_primary_lost_its_log) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {2, 0};
+    proxy.server("r1").position = {1, 7};
+    proxy.server("r2").position = {2, 0};
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(proxy.host.pool_for("stock").sight().log_lost);
+}
+
+// Guards against a finding that is hidden by the row of a primary that crashed before.
+BOOST_AUTO_TEST_CASE(an_older_primarys_row_does_not_hide_that_the_log_was_lost) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {2, 0};
+    caller_script caller{.events = {opening("strict"), ask("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    proxy.server("r1").connect_fails = routing::connect_failure::refused;
+    proxy.host.update(reborn("r1", 5, 1000, routing::server_role::primary));
+    const auto sight = proxy.host.pool_for("stock").sight();
+    BOOST_TEST(sight.id == "p");
+    BOOST_TEST(sight.log_lost);
+}
+
 // Guards against a record of an earlier lead that makes a server unusable when it leads again.
 BOOST_AUTO_TEST_CASE(what_a_server_named_while_it_led_counts_until_another_one_leads) {
     routing::leader_log log;
