A long configuration reaches every proxy, however slow its link

Over 10 Mbit/s 600 KB take longer than that alone; and as soon as one proxy has a new version, all that hear of it fetch it from there at once, so that its link, shared by dozens, carries none of them in time. Each broke off and began anew, from the start, with the next heartbeat. Where no transfer ends, no proxy has a configuration (or proof of its own), and all is refused.

The failed fetches from peers left no line at all; they do now (config.fetch_failed).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -27,6 +27,7 @@
 #include "cornellever/cluster/table_news.hpp"
 #include "cornellever/cluster/traffic_bridge.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/scoped_count.hpp"
 #include "cornellever/core/stable_hash.hpp"
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/fields.hpp"
@@ -128,6 +129,7 @@
     [[nodiscard]] static std::uint64_t cluster_id(std::string_view name) noexcept {
         return stable_hash({name}) % 0xffffffffU + 1;
     }
+    [[nodiscard]] result<Json::Value> snapshot_for(std::uint64_t known_config_version, rpc::connection& to);
     asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
     asio::awaitable<void> replace(std::string service, std::string old, primary_verdict why);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
@@ -181,7 +183,14 @@
     static constexpr std::chrono::milliseconds registry_lead{1500};
     /// Until the others are known, the fewest connections are used.
     static constexpr std::chrono::milliseconds unknown_for{1500};
+    /// Until an answer of a peer begins, and between two pieces of it.
     static constexpr std::chrono::milliseconds catch_up_limit{500};
+    /// Configurations that are being sent at a time. A small VM's link carries a
+    /// few in the time of a heartbeat; those that got one pass it on, and the rest
+    /// get it from them sooner than from a link that is shared by all.
+    static constexpr std::size_t most_uploads = 4;
+    /// Pause of a proxy that got no snapshot, spread over as much again.
+    static constexpr std::chrono::milliseconds catch_up_pause{60};
     static constexpr std::size_t sampled_peers = 12;
     /// A message tells when so many others were last alive: with six exchanges
     /// a second each of 64 proxies is heard of about once a second.
@@ -219,6 +228,10 @@
     time_point m_last_heartbeat{};
     time_point m_behind_since{};
     bool m_catching_up{false};
+    time_point m_catch_up_after{};
+    /// Of the configuration at hand, once it was asked for.
+    packed_configuration m_packed;
+    std::size_t m_uploads{0};
     bool m_leaving{false};
     /// Heard of since the last tick.
     std::vector<std::string> m_joined;
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -11,8 +11,8 @@
     if (ec) {
         return fail(errc::unavailable, "cannot bind the heartbeat address: " + ec.message());
     }
-    m_rpc.on("snapshot", [this](const Json::Value& params, rpc::connection&) -> asio::awaitable<result<Json::Value>> {
-        co_return to_json(m_config, m_registry.registered(), rpc::uint_field(params, "config_version"));
+    m_rpc.on("snapshot", [this](const Json::Value& params, rpc::connection& to) -> asio::awaitable<result<Json::Value>> {
+        co_return snapshot_for(rpc::uint_field(params, "config_version"), to);
     });
     m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
--- a/src/cornellever/cluster/control_tables.ipp
+++ b/src/cornellever/cluster/control_tables.ipp
@@ -117,12 +117,29 @@
         const bool near = message.data_center == m_settings.data_center;
         lead = near || fetches_from_afar(now) ? std::chrono::milliseconds{0} : far_lead;
     }
-    if (!m_catching_up && now - m_behind_since >= lead) {
+    if (!m_catching_up && now >= m_catch_up_after && now - m_behind_since >= lead) {
         m_catching_up = true;
         asio::co_spawn(m_executor, catch_up(message.sender, from.address()), asio::detached);
     }
 }
 
+/// What a peer that is behind asked for. `busy` while as many as the link may
+/// carry are on their way: another proxy has it soon, or has it by now.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+result<Json::Value> control<Store, Orders, Connector>::snapshot_for(std::uint64_t known_config_version,
+                                                                    rpc::connection& to) {
+    if (m_config.version > known_config_version) {
+        if (m_uploads >= most_uploads) {
+            return fail(errc::busy, "other proxies are being sent the configuration");
+        }
+        to.until_written = std::make_shared<scoped_count>(m_uploads);
+        if (m_packed.version != m_config.version) {
+            m_packed = pack(m_config);
+        }
+    }
+    return snapshot_of(m_packed, m_registry.registered(), known_config_version);
+}
+
 /// Takes configuration and servers from a peer that has newer ones: the store
 /// does not answer this proxy, or its feed has not delivered them.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
@@ -130,12 +147,18 @@
     rpc::channel link{m_executor, tcp::endpoint{address, m_settings.peers.port()}};
     Json::Value params{Json::objectValue};
     params["config_version"] = static_cast<Json::UInt64>(m_config.version);
-    auto answer = co_await link.call("snapshot", std::move(params), catch_up_limit);
+    auto answer = co_await link.call("snapshot", std::move(params), catch_up_limit, catch_up_limit);
     m_catching_up = false;
-    m_behind_since = {};
     if (!answer) {
+        // The next message of any other that has it will do.
+        std::uniform_int_distribution<long long> pause{catch_up_pause.count(), 2 * catch_up_pause.count()};
+        m_catch_up_after = boot_clock::now() + std::chrono::milliseconds{pause(m_random)};
+        log_event(event::config_fetch_failed, "peer=" + from + " version=" + std::to_string(m_config.version) +
+                                                  " registry=" + std::to_string(m_registry.effective().version) +
+                                                  " reason=\"" + answer.error().message + "\"");
         co_return;
     }
+    m_behind_since = {};
     auto got = snapshot_from_json(*answer);
     if (!got) {
         log_event(event::config_refused, "peer=" + from + " reason=\"" + got.error().message + "\"");
--- a/src/cornellever/cluster/snapshot.cpp
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -1,6 +1,7 @@
 #include "cornellever/cluster/snapshot.hpp"
 
 #include "cornellever/core/daemon.hpp"
+#include "cornellever/rpc/envelope.hpp"
 #include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::cluster {
@@ -106,7 +107,15 @@
     return out;
 }
 
-void append_details(const routing::configuration& config, Json::Value& out) {
+/// A snapshot's configuration is longer than this only by mistake.
+constexpr std::size_t longest_configuration = std::size_t{64} * 1024 * 1024;
+
+Json::Value details_of(const routing::configuration& config) {
+    Json::Value out;
+    out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
+    for (const auto* list : {"routes", "services", "accounts", "keys"}) {
+        out[list] = Json::arrayValue;
+    }
     for (const auto& [name, route] : config.routes) {
         out["routes"].append(to_json(route));
     }
@@ -126,21 +135,61 @@
         item["account"] = name;
         out["keys"].append(std::move(item));
     }
+    return out;
+}
+
+/// Takes what `details_of` told.
+result<void> read_details(const Json::Value& from, routing::configuration& out) {
+    if (!from.isObject() || !from["routes"].isArray() || !from["services"].isArray() || !from["accounts"].isArray() ||
+        !from["keys"].isArray()) {
+        return fail(errc::bad_request, "a snapshot's configuration lacks a list");
+    }
+    out.transaction_idle = ms_field(from, "transaction_idle_ms");
+    for (const auto& item : from["routes"]) {
+        auto route = route_from(item);
+        out.routes.insert_or_assign(route.database, std::move(route));
+    }
+    for (const auto& item : from["services"]) {
+        routing::service_limits limits;
+        limits.service = text_field(item, "service");
+        limits.max_connections = uint_field(item, "max_connections");
+        limits.synchronous_replicas = static_cast<int>(rpc::whole_field(item, "synchronous_replicas", 1).value_or(0));
+        out.services.insert_or_assign(limits.service, std::move(limits));
+    }
+    auto listed = accounts_from(from["accounts"], from["keys"]);
+    if (!listed) {
+        return std::unexpected{listed.error()};
+    }
+    out.accounts = std::move(*listed);
+    return {};
+}
+
+result<void> read_packed(const Json::Value& from, routing::configuration& out) {
+    const packed_text packed{.bytes = uint_field(from, "bytes"), .base64 = text_field(from, "packed")};
+    const auto text = unpack(packed, longest_configuration);
+    if (!text) {
+        return std::unexpected{text.error()};
+    }
+    const auto details = rpc::parse_json(*text);
+    if (!details) {
+        return fail(errc::bad_request, "a snapshot's configuration is not JSON");
+    }
+    return read_details(*details, out);
 }
 
 } // namespace
 
-Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
-                    std::uint64_t known_config_version) {
+packed_configuration pack(const routing::configuration& config) {
+    return {config.version, cornellever::pack(rpc::to_text(details_of(config)))};
+}
+
+Json::Value snapshot_of(const packed_configuration& config, const routing::registry& servers,
+                        std::uint64_t known_config_version) {
     Json::Value out;
     out["config_version"] = static_cast<Json::UInt64>(config.version);
-    out["transaction_idle_ms"] = static_cast<Json::Int64>(config.transaction_idle.count());
-    out["routes"] = Json::arrayValue;
-    out["services"] = Json::arrayValue;
-    out["accounts"] = Json::arrayValue;
-    out["keys"] = Json::arrayValue;
     if (config.version > known_config_version) {
-        append_details(config, out);
+        out["config"]["bytes"] = static_cast<Json::UInt64>(config.text.bytes);
+        out["config"]["packed"] = config.text.base64;
     }
     out["registry_version"] = static_cast<Json::UInt64>(servers.version);
     out["servers"] = Json::arrayValue;
@@ -150,30 +199,22 @@
     return out;
 }
 
+Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
+                    std::uint64_t known_config_version) {
+    return snapshot_of(pack(config), servers, known_config_version);
+}
+
 result<proxy_snapshot> snapshot_from_json(const Json::Value& from) {
-    if (!from.isObject() || !from["routes"].isArray() || !from["services"].isArray() || !from["accounts"].isArray() ||
-        !from["keys"].isArray() || !from["servers"].isArray()) {
+    if (!from.isObject() || !from["servers"].isArray()) {
         return fail(errc::bad_request, "not a snapshot");
     }
     proxy_snapshot out;
     out.config.version = uint_field(from, "config_version");
-    out.config.transaction_idle = ms_field(from, "transaction_idle_ms");
-    for (const auto& item : from["routes"]) {
-        auto route = route_from(item);
-        out.config.routes.insert_or_assign(route.database, std::move(route));
-    }
-    for (const auto& item : from["services"]) {
-        routing::service_limits limits;
-        limits.service = text_field(item, "service");
-        limits.max_connections = uint_field(item, "max_connections");
-        limits.synchronous_replicas = static_cast<int>(rpc::whole_field(item, "synchronous_replicas", 1).value_or(0));
-        out.config.services.insert_or_assign(limits.service, std::move(limits));
-    }
-    auto listed = accounts_from(from["accounts"], from["keys"]);
-    if (!listed) {
-        return std::unexpected{listed.error()};
+    if (from.isMember("config")) {
+        if (auto read = read_packed(from["config"], out.config); !read) {
+            return std::unexpected{read.error()};
+        }
     }
-    out.config.accounts = std::move(*listed);
     out.servers.version = uint_field(from, "registry_version");
     for (const auto& item : from["servers"]) {
         auto server = server_from(item);
--- a/src/cornellever/cluster/snapshot.hpp
+++ b/src/cornellever/cluster/snapshot.hpp
@@ -3,6 +3,7 @@
 #include <jsoncpp/json/value.h>
 
 #include "cornellever/core/error.hpp"
+#include "cornellever/core/packing.hpp"
 #include "cornellever/routing/model.hpp"
 
 namespace cornellever::cluster {
@@ -13,8 +14,19 @@
     routing::registry servers;
 };
 
-/// Routes and services are left out where the other has this version of the
-/// configuration already: they take 170 bytes a route.
+/// A configuration as snapshots carry it. It is worked out once a version: many
+/// proxies ask for it at about the same time.
+struct packed_configuration {
+    std::uint64_t version{0};
+    packed_text text;
+};
+
+[[nodiscard]] packed_configuration pack(const routing::configuration& config);
+
+/// The configuration is left out where the other has this version already.
+[[nodiscard]] Json::Value snapshot_of(const packed_configuration& config, const routing::registry& servers,
+                                      std::uint64_t known_config_version = 0);
+
 [[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
                                   std::uint64_t known_config_version = 0);
 
--- a/platform/base64.cpp
+++ b/src/cornellever/core/base64.cpp
@@ -1,8 +1,8 @@
-#include "platform/base64.hpp"
+#include "cornellever/core/base64.hpp"
 
 #include <boost/beast/core/detail/base64.hpp>
 
-namespace cornellever::platform {
+namespace cornellever {
 
 namespace base64 = boost::beast::detail::base64;
 
@@ -25,4 +25,4 @@
     return out;
 }
 
-} // namespace cornellever::platform
+} // namespace cornellever
--- /dev/null
+++ b/src/cornellever/core/packing.cpp
@@ -0,0 +1,48 @@
+#include "cornellever/core/packing.hpp"
+
+#include <zlib.h>
+
+#include "cornellever/core/base64.hpp"
+
+namespace cornellever {
+
+namespace {
+
+const Bytef* bytes_of(std::string_view text) {
+    return reinterpret_cast<const Bytef*>(text.data());
+}
+
+Bytef* bytes_of(std::string& text) {
+    return reinterpret_cast<Bytef*>(text.data());
+}
+
+} // namespace
+
+packed_text pack(std::string_view text) {
+    auto length = ::compressBound(static_cast<uLong>(text.size()));
+    std::string out(length, '\0');
+    // Fails only for want of room, and the bound is the room that it may need.
+    (void)::compress2(bytes_of(out), &length, bytes_of(text), static_cast<uLong>(text.size()), Z_BEST_SPEED);
+    out.resize(length);
+    return {text.size(), encode_base64(out)};
+}
+
+result<std::string> unpack(const packed_text& packed, std::size_t most) {
+    if (packed.bytes > most) {
+        return fail(errc::bad_request, "a packed text of " + std::to_string(packed.bytes) + " bytes is too long");
+    }
+    const auto compressed = decode_base64(packed.base64);
+    if (!compressed) {
+        return fail(errc::bad_request, "a packed text is not base64");
+    }
+    std::string out(packed.bytes, '\0');
+    auto length = static_cast<uLongf>(out.size());
+    const auto done =
+        ::uncompress(bytes_of(out), &length, bytes_of(*compressed), static_cast<uLong>(compressed->size()));
+    if (done != Z_OK || length != out.size()) {
+        return fail(errc::bad_request, "a packed text cannot be unpacked");
+    }
+    return out;
+}
+
+} // namespace cornellever
--- a/src/cornellever/rpc/channel.cpp
+++ b/src/cornellever/rpc/channel.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http.hpp>
 
 #include "cornellever/rpc/envelope.hpp"
+#include "cornellever/rpc/paced_read.hpp"
 
 namespace cornellever::rpc {
 
@@ -62,7 +63,8 @@
 }
 
 asio::awaitable<result<Json::Value>> channel::call(std::string_view method, const Json::Value& params,
-                                                   std::chrono::milliseconds deadline) {
+                                                   std::chrono::milliseconds deadline,
+                                                   std::optional<std::chrono::milliseconds> piece_limit) {
     if (m_broken) {
         co_return fail(errc::unavailable, "channel to " + describe(m_peer) + " was closed after a failed call");
     }
@@ -85,7 +87,9 @@
     m_bytes_sent += co_await http::async_write(m_stream, request, asio::redirect_error(asio::use_awaitable, ec));
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
-    if (!ec) {
+    if (!ec && piece_limit) {
+        m_bytes_received += co_await read_paced(m_stream, m_buffer, parser, *piece_limit, ec);
+    } else if (!ec) {
         m_bytes_received +=
             co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
     }
--- a/src/cornellever/rpc/channel.hpp
+++ b/src/cornellever/rpc/channel.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -25,8 +26,11 @@
     /// `outcome_unknown` when the request was sent but no whole answer came
     /// back in time, after which the channel is closed; otherwise the error
     /// the peer answered with.
+    /// With a `piece_limit` the deadline is that of the answer's beginning, and a
+    /// long answer may take longer, as `read_paced` says.
     asio::awaitable<result<Json::Value>> call(std::string_view method, const Json::Value& params,
-                                              std::chrono::milliseconds deadline);
+                                              std::chrono::milliseconds deadline,
+                                              std::optional<std::chrono::milliseconds> piece_limit = {});
 
     /// True when the peer closed this idle connection (or sent something
     /// nobody asked for): a request sent on it would end in doubt.
--- a/src/cornellever/rpc/server.cpp
+++ b/src/cornellever/rpc/server.cpp
@@ -102,6 +102,7 @@
         response.body() = std::move(body);
         response.prepare_payload();
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        conn.until_written.reset();
         if (ec || !stays) {
             co_return;
         }
--- a/src/cornellever/rpc/server.hpp
+++ b/src/cornellever/rpc/server.hpp
@@ -31,6 +31,8 @@
     /// Set by a handler to close the connection without sending the answer
     /// (the stand-ins' "answer lost after the change took effect" fault).
     bool drop_answer{false};
+    /// What a handler holds until its answer is written.
+    std::shared_ptr<void> until_written;
 };
 
 /// A handler of one method: takes the params object, yields the result.
--- a/tests/emulator/metadata_store.cpp
+++ b/tests/emulator/metadata_store.cpp
@@ -5,9 +5,9 @@
 #include <boost/beast/core.hpp>
 
 #include "accepting.hpp"
+#include "cornellever/core/base64.hpp"
 #include "cornellever/rpc/envelope.hpp"
 #include "cornellever/rpc/fields.hpp"
-#include "platform/base64.hpp"
 #include "platform/status_server.hpp"
 
 namespace cornellever::emulator {
@@ -140,7 +140,7 @@
         out["Deleted"] = true;
         return out;
     }
-    out["Value"] = platform::encode_base64(found->second.value);
+    out["Value"] = encode_base64(found->second.value);
     out["Ver"] = static_cast<Json::UInt64>(found->second.version);
     return out;
 }
@@ -202,7 +202,7 @@
     ++m_version;
     for (const auto& item : body["Put"]) {
         write(rpc::text_field(item, "TableName"), rpc::text_field(item, "Key"),
-              platform::decode_base64(rpc::text_field(item, "Value")).value_or(""));
+              decode_base64(rpc::text_field(item, "Value")).value_or(""));
     }
     for (const auto& item : body["Remove"]) {
         write(rpc::text_field(item, "TableName"), rpc::text_field(item, "Key"), std::nullopt);
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -3,9 +3,9 @@
 #include <fstream>
 #include <iterator>
 
+#include "cornellever/core/base64.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "fake_link.hpp"
-#include "platform/base64.hpp"
 #include "platform/caller_listener.hpp"
 #include "platform/relay_codec.hpp"
 #include "platform/rows.hpp"
@@ -149,10 +149,10 @@
 
 BOOST_AUTO_TEST_CASE(base64_goes_there_and_back) {
     for (const auto* text : {"", "a", "ab", "abc", "node-1"}) {
-        BOOST_TEST(platform::decode_base64(platform::encode_base64(text)).value() == text);
+        BOOST_TEST(decode_base64(encode_base64(text)).value() == text);
     }
-    BOOST_TEST(platform::encode_base64("node-1") == "bm9kZS0x");
-    BOOST_TEST(!platform::decode_base64("!!"));
+    BOOST_TEST(encode_base64("node-1") == "bm9kZS0x");
+    BOOST_TEST(!decode_base64("!!"));
 }
 
 BOOST_AUTO_TEST_CASE(rows_become_the_products_types) {
--- a/tests/unit/accounts.cpp
+++ b/tests/unit/accounts.cpp
@@ -257,6 +257,10 @@
     config.accounts.add({.name = "yard", .priority = 2, .limit = accounts::rate_limit{2.5, 4.0}});
     const auto json = cluster::to_json(config, {});
     BOOST_TEST(json.toStyledString().find("key-yard") == std::string::npos);
+    const packed_text packed{json["config"]["bytes"].asUInt64(), json["config"]["packed"].asString()};
+    const auto text = unpack(packed, 1'000'000).value();
+    BOOST_TEST(text.find("yard") != std::string::npos);
+    BOOST_TEST(text.find("key-yard") == std::string::npos);
     const auto back = cluster::snapshot_from_json(json).value();
     BOOST_TEST((back.config.accounts.all() == config.accounts.all()));
     BOOST_TEST((back.config.accounts.keys() == config.accounts.keys()));
