--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -11,9 +11,10 @@
     if (ec) {
         return fail(errc::unavailable, "cannot bind the heartbeat address: " + ec.message());
     }
-    m_rpc.on("snapshot", [this](const Json::Value& params, rpc::connection& to) -> asio::awaitable<result<Json::Value>> {
-        co_return snapshot_for(rpc::uint_field(params, "config_version"), to);
-    });
+    m_rpc.on("snapshot",
+             [this](const Json::Value& params, rpc::connection& to) -> asio::awaitable<result<Json::Value>> {
+                 co_return snapshot_for(rpc::uint_field(params, "config_version"), to);
+             });
     m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
         return std::unexpected{bound.error()};
