--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -79,9 +79,12 @@
     /// How this proxy keeps up with a table of the store at present.
     [[nodiscard]] watch_pace pace(followed what) const;
 
-    /// The store said that this proxy's copy was current at that time.
+    /// The store said that this proxy's copy was current at that time. One that
+    /// has returned from an older copy says so of what others know to be replaced.
     void note_current(followed what, time_point at) {
-        m_followed.at(place(what)).note_current(at);
+        if (m_followed.at(place(what)).newest() <= version_of(what)) {
+            m_followed.at(place(what)).note_current(at);
+        }
         tell_proof();
     }
 
@@ -90,6 +93,9 @@
     [[nodiscard]] const control_counts& counts() const noexcept { return m_counts; }
     [[nodiscard]] const peer_traffic& heard_from_peers() const noexcept { return m_peer_traffic; }
 
+    /// The store may have lost this proxy's row, which it writes again.
+    void register_again() { asio::co_spawn(m_executor, write_own_row_again(), asio::detached); }
+
     /// This proxy stops by plan: it replaces no primary any more, and those
     /// that start from now on do not learn of it.
     asio::awaitable<void> prepare_to_leave();
@@ -123,6 +129,8 @@
     asio::awaitable<void> receive();
     asio::awaitable<void> tick();
     asio::awaitable<void> register_self();
+    asio::awaitable<void> write_own_row_again();
+    [[nodiscard]] std::string own_row() const;
     asio::awaitable<void> take_proxies(store_rows listed);
     asio::awaitable<void> name_cluster();
     /// Short, since every message carries it; never 0.
@@ -192,6 +200,8 @@
     /// Pause of a proxy that got no snapshot, spread over as much again.
     static constexpr std::chrono::milliseconds catch_up_pause{60};
     static constexpr std::size_t sampled_peers = 12;
+    static constexpr std::chrono::milliseconds rewrite_spread{2000};
+    static constexpr int most_rewrites = 5;
     /// A message tells when so many others were last alive: with six exchanges
     /// a second each of 64 proxies is heard of about once a second.
     static constexpr std::size_t passed_on = 6;
--- a/src/cornellever/cluster/control_joining.ipp
+++ b/src/cornellever/cluster/control_joining.ipp
@@ -10,8 +10,7 @@
 asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
     constexpr std::chrono::milliseconds pause{400};
     const std::string table{proxies_table};
-    const auto address = m_settings.heartbeats.address().to_string() + ":" +
-                         std::to_string(m_settings.heartbeats.port()) + " " + m_settings.data_center;
+    const auto address = own_row();
     bool registered = false;
     // Whoever reads the table after this proxy's row is in it finds this one,
     // and this one finds those whose rows were there before: no two miss each
@@ -46,6 +45,30 @@
     ask_peers();
 }
 
+/// Where the others reach this proxy.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+std::string control<Store, Orders, Connector>::own_row() const {
+    return m_settings.heartbeats.address().to_string() + ":" + std::to_string(m_settings.heartbeats.port()) + " " +
+           m_settings.data_center;
+}
+
+/// Writes this proxy's row once more, spread over the time in which all proxies
+/// do so: a proxy that starts later learns of the others from their rows.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+asio::awaitable<void> control<Store, Orders, Connector>::write_own_row_again() {
+    std::uniform_int_distribution<long long> wait{0, rewrite_spread.count()};
+    for (int tries = 0; tries < most_rewrites && !m_leaving; ++tries) {
+        co_await sleep_for(std::chrono::milliseconds{wait(m_random)});
+        const std::string table{proxies_table};
+        const auto row = own_row();
+        const auto written = co_await m_store.write(table, m_settings.name, row);
+        if (written) {
+            co_return;
+        }
+        log_event(event::store_lost, "table=proxies reason=\"" + written.error().message + "\"");
+    }
+}
+
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::take_proxies(store_rows listed) {
     for (const auto& row : listed.rows) {
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -25,6 +25,7 @@
     table_not_taken = 1107,
     store_lost = 1110,
     store_regained = 1111,
+    store_returned = 1112,
     instance_up = 1201,
     instance_down = 1202,
     failover_started = 1203,
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -126,3 +126,4 @@
 #include "cornellever/session/statement_engine.ipp"
 #include "cornellever/session/statement_permission.ipp"
 #include "cornellever/session/statement_transactions.ipp"
+#include "cornellever/session/statement_verdicts.ipp"
--- a/tests/emulator/metadata_store.cpp
+++ b/tests/emulator/metadata_store.cpp
@@ -18,6 +18,8 @@
 
 constexpr auto feed_step = 10ms;
 constexpr std::size_t kept_history = 400;
+constexpr auto copy_period = 200ms;
+constexpr std::size_t kept_copies = 100;
 
 std::uint64_t number_in(const std::string& text) {
     std::uint64_t out = 0;
@@ -58,6 +60,38 @@
     }
     const auto take = [this](tcp::socket socket) { asio::co_spawn(m_io, serve(std::move(socket)), asio::detached); };
     asio::co_spawn(io, accept_each(m_acceptor, take), asio::detached);
+    asio::co_spawn(io, make_copies(), asio::detached);
+}
+
+asio::awaitable<void> metadata_store::make_copies() {
+    for (;;) {
+        m_copies.push_back({boot_clock::now(), m_tables, m_version});
+        if (m_copies.size() > kept_copies) {
+            m_copies.pop_front();
+        }
+        co_await sleep_for(copy_period);
+    }
+}
+
+void metadata_store::return_from_copy(std::chrono::milliseconds age) {
+    const auto wanted = boot_clock::now() - age;
+    while (m_copies.size() > 1 && m_copies.back().made_at > wanted) {
+        m_copies.pop_back();
+    }
+    m_tables = m_copies.back().tables;
+    m_version = m_copies.back().version;
+    m_history.clear();
+    ++m_era;
+}
+
+std::vector<std::string> metadata_store::keys(const std::string& table) const {
+    std::vector<std::string> out;
+    if (const auto found = m_tables.find(table); found != m_tables.end()) {
+        for (const auto& [key, item] : found->second) {
+            out.push_back(key);
+        }
+    }
+    return out;
 }
 
 void metadata_store::write(const std::string& table, const std::string& key, std::optional<std::string> value) {
@@ -98,6 +132,7 @@
             co_await sleep_for(30s);
             co_return;
         }
+        out->set("Store-Era", std::to_string(m_era));
         co_await http::async_write(stream, *out, asio::redirect_error(asio::use_awaitable, ec));
         if (ec) {
             co_return;
@@ -167,7 +202,8 @@
     const auto after = number_in(params.at("after"));
     const auto until = boot_clock::now() + std::chrono::milliseconds{number_in(params.at("WaitMs"))};
     for (;;) {
-        const bool gone = after < m_version && (m_history.empty() || m_history.front().version > after + 1);
+        const bool gone =
+            after > m_version || (after < m_version && (m_history.empty() || m_history.front().version > after + 1));
         if (gone) {
             co_return reply(410, Json::Value{Json::objectValue});
         }
--- a/tests/emulator/metadata_store.hpp
+++ b/tests/emulator/metadata_store.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/beast/http.hpp>
 #include <jsoncpp/json/value.h>
@@ -41,6 +42,13 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
     void drop_history() { m_history.clear(); }
+
+    /// Goes back to how it was so long ago, as a store that is restored from a
+    /// copy: versions are given out again, in another era.
+    void return_from_copy(std::chrono::milliseconds age);
+
+    /// The keys of a table.
+    [[nodiscard]] std::vector<std::string> keys(const std::string& table) const;
     [[nodiscard]] bool well() const noexcept { return faults.refuse_with == 0; }
 
     store_faults faults;
@@ -59,6 +67,13 @@
     using answer = http::response<http::string_body>;
     using question = http::request<http::string_body>;
 
+    struct copy {
+        boot_clock::time_point made_at;
+        std::map<std::string, table> tables;
+        std::uint64_t version{0};
+    };
+
+    asio::awaitable<void> make_copies();
     asio::awaitable<void> serve(tcp::socket socket);
     asio::awaitable<std::optional<answer>> handle(const question& asked);
     asio::awaitable<std::optional<answer>> transact(const question& asked);
@@ -75,6 +90,8 @@
     std::map<std::string, table> m_tables;
     std::deque<change> m_history;
     std::uint64_t m_version{0};
+    std::deque<copy> m_copies;
+    std::uint64_t m_era{1};
     boot_clock::time_point m_started{boot_clock::now()};
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,7 @@
     TCLAP::ValueArg<int> planned{"", "planned-s", "seconds of planned work alone", false, 8, "seconds", cmd};
     TCLAP::ValueArg<int> faulty{"", "faulty-s", "seconds of faults", false, 15, "seconds", cmd};
     TCLAP::ValueArg<int> emptied{"", "emptied", "rounds in which a primary loses its log", false, 0, "number", cmd};
+    TCLAP::ValueArg<int> returns{"", "returns", "rounds of a store from an older copy", false, 0, "number", cmd};
     TCLAP::ValueArg<std::size_t> proxies{"", "proxies", "proxy processes", false, 5, "number", cmd};
     TCLAP::ValueArg<std::size_t> callers{"", "callers", "callers at a time", false, 24, "number", cmd};
     cmd.parse(argc, argv);
@@ -32,6 +33,7 @@
                                                           .planned = std::chrono::seconds{planned.getValue()},
                                                           .faulty = std::chrono::seconds{faulty.getValue()},
                                                           .emptied = emptied.getValue(),
+                                                          .returns = returns.getValue(),
                                                           .proxies = proxies.getValue(),
                                                           .callers = callers.getValue()}};
         asio::co_spawn(io, played.play(), [&](const std::exception_ptr& failed, std::size_t breaches) {
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -35,7 +35,8 @@
     , m_settings{std::move(settings)}
     , m_random{m_settings.seed}
     , m_odd_random{~m_settings.seed}
-    , m_emptied_random{m_settings.seed ^ 0x656d7074U} {
+    , m_emptied_random{m_settings.seed ^ 0x656d7074U}
+    , m_returns_random{m_settings.seed ^ 0x72657475U} {
     const auto at = [this](unsigned last, unsigned short port) {
         return tcp::endpoint{asio::ip::make_address(address(last)), port};
     };
@@ -455,6 +456,61 @@
     }
 }
 
+/// What the operator and the servers wrote since is written again; rows of
+/// servers that have gone meanwhile go again.
+void scenario::return_store(std::chrono::milliseconds age) {
+    m_store->return_from_copy(age);
+    m_published.clear();
+    after(300ms, [this] {
+        publish_configuration();
+        for (const auto& key : m_store->keys("servers")) {
+            const bool known = std::ranges::any_of(m_services, [&](const auto& service) {
+                return std::ranges::any_of(service->servers(), [&](const auto& item) { return item->id() == key; });
+            });
+            if (!known) {
+                m_store->remove("servers", key);
+            }
+        }
+    });
+}
+
+/// The store is away for a moment and returns from a copy some seconds old, twice
+/// in a row at times, while configurations change and primaries crash.
+asio::awaitable<void> scenario::returns_phase() {
+    const auto draw = [this](std::uint64_t limit) { return m_returns_random() % limit; };
+    for (int round = 0; round < m_settings.returns; ++round) {
+        disrupt();
+        if (draw(2) == 0) {
+            m_config_version += 1 + draw(5);
+            publish_configuration();
+        }
+        auto& primary = m_services[draw(m_services.size())]->primary();
+        const bool crashes = draw(3) != 0 && !primary.draining && primary.running();
+        const auto down = std::chrono::milliseconds{100 + draw(900)};
+        const auto age = std::chrono::milliseconds{500 + draw(8000)};
+        const bool again = draw(3) == 0;
+        if (crashes) {
+            after(std::chrono::milliseconds{draw(1500)}, [&primary] { primary.crash(); });
+            after(std::chrono::milliseconds{2500 + draw(2500)}, [&primary] {
+                if (!primary.running()) {
+                    primary.start();
+                }
+            });
+        }
+        m_store->faults.refuse_with = 503;
+        after(down, [this, age] {
+            m_store->faults.refuse_with = 0;
+            return_store(age);
+        });
+        if (again) {
+            after(down + std::chrono::milliseconds{200 + draw(1500)}, [this, age] { return_store(age / 2); });
+        }
+        std::printf("store down for %lld ms, returns %s from a copy %lld ms old; %s\n", to_ms(down),
+                    again ? "twice" : "once", to_ms(age), crashes ? primary.id().c_str() : "no crash");
+        co_await sleep_for(std::chrono::milliseconds{5500 + draw(2000)});
+    }
+}
+
 void scenario::list_faults() {
     list_odd_faults();
     list_process_faults();
@@ -571,6 +627,7 @@
     co_await phase(m_settings.planned, true);
     co_await phase(m_settings.faulty, false);
     co_await emptied_phase();
+    co_await returns_phase();
     co_await recover();
     // Under their load a request may be refused for want of a connection.
     m_stop = true;
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -24,6 +24,8 @@
     std::chrono::seconds faulty{12};
     /// Rounds in which a primary loses its log while proxies are killed.
     int emptied{0};
+    /// Rounds in which the store returns from an older copy.
+    int returns{0};
     std::size_t proxies{5};
     std::size_t callers{24};
 };
@@ -59,6 +61,8 @@
     asio::awaitable<void> phase(std::chrono::seconds length, bool planned_only);
     asio::awaitable<void> later(std::chrono::milliseconds when, std::function<void()> what);
     asio::awaitable<void> emptied_phase();
+    asio::awaitable<void> returns_phase();
+    void return_store(std::chrono::milliseconds age);
     asio::awaitable<void> recover();
     asio::awaitable<void> check_recovered();
     asio::awaitable<void> stop_all();
@@ -98,6 +102,7 @@
     std::vector<fault> m_odd_faults;
     std::mt19937_64 m_odd_random;
     std::mt19937_64 m_emptied_random;
+    std::mt19937_64 m_returns_random;
     std::map<std::string, std::string> m_published;
     std::map<std::string, time_point> m_down_since;
     std::uint64_t m_config_version{10};
