--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -80,10 +80,12 @@
     [[nodiscard]] watch_pace pace(followed what) const;
 
     /// The store said that this proxy's copy was current at that time. One that
-    /// has returned from an older copy says so of what others know to be replaced.
+    /// has returned from an older copy says so of a configuration that others know
+    /// to be replaced.
     void note_current(followed what, time_point at) {
-        if (m_followed.at(place(what)).newest() <= version_of(what)) {
-            m_followed.at(place(what)).note_current(at);
+        auto& news = m_followed.at(place(what));
+        if (what != followed::configuration || news.newest() <= m_config.version) {
+            news.note_current(at);
         }
         tell_proof();
     }
--- a/src/cornellever/rpc/server.cpp
+++ b/src/cornellever/rpc/server.cpp
@@ -6,6 +6,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/core/scoped_count.hpp"
 #include "cornellever/rpc/envelope.hpp"
+#include "cornellever/rpc/paced_read.hpp"
 
 namespace cornellever::rpc {
 
@@ -101,7 +102,12 @@
         response.keep_alive(stays);
         response.body() = std::move(body);
         response.prepare_payload();
+        if (conn.until_written) {
+            // A peer that reads no more must not hold it for ever.
+            stream.expires_after(longest_transfer);
+        }
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        stream.expires_never();
         conn.until_written.reset();
         if (ec || !stays) {
             co_return;
