A write whose primary is replaced gets a final outcome

Cause: a write is acknowledged once a majority holds it in the term it was made in. quiesce waited for open transactions only; the fence that follows makes the replicas promise the next term, and a write committed just before can no longer be confirmed in its own.

Evidence: 3 of 78 plays of the unchanged test failed, six or seven at a time on five cores. The kept logs of one: failover.started planned=yes at .970, write.unconfirmed term=1 position=203 at .991, failover.done term=2 at .995.

Ruled out by these logs: a lost connection or a timeout (no pool event, 20 ms).

Fix: quiesce waits until a majority holds the log whole. The answer of the last commit may still be on its way to the proxy when the fence passes, so a proxy whose confirmation fails asks the next primary whether its log has the entry and waits until a majority holds that log up to an entry of the new term. From then on no later primary can lack or regain the write: it is acknowledged, or told not run. A repeated request whose mark is only the log's end stays in doubt and is looked up again.

--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -57,6 +57,7 @@
     add("rollback", &instance::rollback);
     add("terminate", &instance::terminate);
     add("await_received", &instance::await_received);
+    add("find_entry", &instance::find_entry);
     add("replicate", &instance::replicate);
     add("quiesce", &instance::quiesce);
     add("fence", &instance::fence);
--- a/src/cornellever/backend/instance.hpp
+++ b/src/cornellever/backend/instance.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -42,8 +43,8 @@
 /// back its open transactions.
 ///
 /// Methods for callers: `execute`, `begin`, `commit`, `rollback`,
-/// `terminate`, `await_received`, `status`, `dump`. For promotion: `quiesce`, `fence`,
-/// `promote`. Between instances: `replicate`. For tests: `fault.set`.
+/// `terminate`, `await_received`, `find_entry`, `status`, `dump`. For promotion:
+/// `quiesce`, `fence`, `promote`. Between instances: `replicate`. For tests: `fault.set`.
 /// Single-threaded.
 class instance {
 public:
@@ -77,7 +78,12 @@
     answer dump(params in, rpc::connection& conn);
     answer set_fault(params in, rpc::connection& conn);
     answer await_received(params in, rpc::connection& conn);
+    /// Whether the log of the primary of `term` holds, at `position`, the
+    /// entry written in `entry_term`; also where that log ends.
+    answer find_entry(params in, rpc::connection& conn);
     answer replicate(params in, rpc::connection& conn);
+    /// Takes no new writes and waits, at most `wait_ms`, until transactions
+    /// have ended and a majority holds the log whole.
     answer quiesce(params in, rpc::connection& conn);
     answer fence(params in, rpc::connection& conn);
     answer promote(params in, rpc::connection& conn);
@@ -92,6 +98,8 @@
     [[nodiscard]] Json::Value where_written() const;
     [[nodiscard]] std::chrono::milliseconds staleness() const;
     [[nodiscard]] std::size_t open_transactions() const;
+    /// Whether a majority of the instances, this primary included, hold its log whole.
+    [[nodiscard]] bool majority_holds_log() const;
     /// What a heartbeat needs; every byte of it is sent by each proxy
     /// several times a second.
     [[nodiscard]] Json::Value essentials() const;
@@ -116,6 +124,8 @@
     std::uint64_t m_reign{0};
     bool m_quiescing{false};
     write_log m_log;
+    /// How far each replica of this reign has confirmed to hold the log.
+    std::map<tcp::endpoint, std::uint64_t> m_shipped;
     faults m_faults;
     std::uint64_t m_statements{0};
     std::set<client*> m_clients;
--- a/src/cornellever/backend/replication.cpp
+++ b/src/cornellever/backend/replication.cpp
@@ -20,6 +20,7 @@
 } // namespace
 
 void instance::start_shipping() {
+    m_shipped.clear();
     for (const auto& replica : m_settings.replicas) {
         asio::co_spawn(m_executor, ship(replica, m_reign), asio::detached);
     }
@@ -136,6 +137,9 @@
             // A replica whose log does not match here is asked further back,
             // until it does; it then gives up what another primary wrote.
             sent = (*answer)["received"].asUInt64();
+            if (m_reign == reign && (*answer)["matched"].asBool()) {
+                m_shipped[replica] = sent;
+            }
             log_event(event::backend_shipped,
                       "to=" + cornellever::to_string(replica) + " through=" + std::to_string(sent));
             continue;
@@ -190,6 +194,23 @@
     }
 }
 
+instance::answer instance::find_entry(params in, rpc::connection&) {
+    const auto term = in["term"].asUInt64();
+    if (m_role != role::primary || m_term != term) {
+        co_return fail(errc::fenced,
+                       "instance " + m_settings.name + " is not the primary of term " + std::to_string(term));
+    }
+    auto out = where_written();
+    out["held"] = m_log.holds(in["position"].asUInt64(), in["entry_term"].asUInt64());
+    co_return out;
+}
+
+bool instance::majority_holds_log() const {
+    const auto whole = [&](const auto& item) { return item.second >= m_log.last(); };
+    const auto holders = 1 + static_cast<std::size_t>(std::ranges::count_if(m_shipped, whole));
+    return 2 * holders > m_settings.replicas.size() + 1;
+}
+
 instance::answer instance::quiesce(params in, rpc::connection&) {
     if (m_role != role::primary || in["term"].asUInt64() != m_term) {
         co_return fail(errc::fenced, "instance " + m_settings.name + " is not the primary of that term");
@@ -197,7 +218,7 @@
     const auto until = clock::now() + std::chrono::milliseconds{in.get("wait_ms", 0).asInt64()};
     const auto reign = m_reign;
     m_quiescing = true;
-    while (open_transactions() > 0 && clock::now() < until && m_reign == reign) {
+    while ((open_transactions() > 0 || !majority_holds_log()) && clock::now() < until && m_reign == reign) {
         co_await sleep_for(poll_interval);
     }
     Json::Value out;
--- a/src/cornellever/core/event.cpp
+++ b/src/cornellever/core/event.cpp
@@ -53,6 +53,7 @@
     event_info{event::session_relayed, "session.relayed", severity::info},
     event_info{event::request_forbidden, "request.forbidden", severity::info},
     event_info{event::limit_refused, "limit.refused", severity::info},
+    event_info{event::write_settled, "write.settled", severity::info},
     event_info{event::lines_dropped, "log.lines_dropped", severity::warning},
     event_info{event::backend_write, "backend.write", severity::debug},
     event_info{event::backend_shipped, "backend.shipped", severity::debug},
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -57,6 +57,7 @@
     session_relayed = 1316,
     request_forbidden = 1317,
     limit_refused = 1318,
+    write_settled = 1319,
     lines_dropped = 1320,
     backend_write = 1401,
     backend_shipped = 1402,
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -83,12 +83,16 @@
 }
 
 asio::awaitable<result<instance_view>> backend_links::await_primary(std::string_view service, std::string_view database,
-                                                                    clock::time_point until) {
+                                                                    clock::time_point until, std::uint64_t min_term) {
+    const auto leader = [&] {
+        const auto* now = m_topology.primary(service, database, clock::now());
+        return now != nullptr && now->term >= min_term ? now : nullptr;
+    };
     const auto refusal = [&] {
         return fail_for_now(errc::unavailable, "no primary answers for " + database_key(service, database),
                             primary_retry_after);
     };
-    if (const auto* now = m_topology.primary(service, database, clock::now()); now != nullptr) {
+    if (const auto* now = leader(); now != nullptr) {
         co_return *now;
     }
     if (m_primary_waiters >= m_limits.max_primary_waiters) {
@@ -97,7 +101,7 @@
     scoped_count waiting{m_primary_waiters};
     while (clock::now() < until) {
         co_await sleep_for(primary_poll);
-        if (const auto* now = m_topology.primary(service, database, clock::now()); now != nullptr) {
+        if (const auto* now = leader(); now != nullptr) {
             co_return *now;
         }
     }
--- a/src/cornellever/proxy/backend_links.hpp
+++ b/src/cornellever/proxy/backend_links.hpp
@@ -56,11 +56,11 @@
     [[nodiscard]] topology& known() noexcept { return m_topology; }
     [[nodiscard]] const topology& known() const noexcept { return m_topology; }
 
-    /// The primary of a database, waiting until `until` for one to appear
-    /// during a failover. Errors: `unavailable` (not run), saying when to
+    /// The primary of a database in `min_term` or later, waiting until
+    /// `until` for one to appear during a failover. Errors: `unavailable` (not run), saying when to
     /// come back; at once when too many callers wait already.
     asio::awaitable<result<instance_view>> await_primary(std::string_view service, std::string_view database,
-                                                         clock::time_point until);
+                                                         clock::time_point until, std::uint64_t min_term = 0);
 
     /// A connection to `target`. Errors: `busy` (not run).
     asio::awaitable<result<pooled_connection>> acquire(const instance_view& target, std::chrono::milliseconds wait);
--- a/src/cornellever/proxy/write_path.cpp
+++ b/src/cornellever/proxy/write_path.cpp
@@ -31,16 +31,50 @@
 
 asio::awaitable<result<void>> write_path::acknowledge(const instance_view& primary, write_mark mark,
                                                       session_token& token, clock::time_point until) {
-    auto confirmed = co_await m_links.confirm(primary, mark, std::min(confirm_wait, time_left(until)));
+    until = std::min(until, clock::now() + confirm_wait);
+    auto confirmed = co_await m_links.confirm(primary, mark, time_left(until));
     if (!confirmed) {
-        log_event(event::write_unconfirmed, "instance=" + primary.key + " term=" + std::to_string(mark.term) +
-                                                " position=" + std::to_string(mark.position));
-        co_return confirmed;
+        const auto fields = "instance=" + primary.key + " term=" + std::to_string(mark.term) +
+                            " position=" + std::to_string(mark.position);
+        auto kept = co_await outlived(primary, mark, until);
+        if (!kept) {
+            log_event(event::write_unconfirmed, fields);
+            co_return confirmed;
+        }
+        log_event(event::write_settled, fields + " outcome=" + (*kept ? "kept" : "dropped"));
+        if (!*kept) {
+            co_return fail(errc::not_run, "the write was dropped when " + primary.key + " was replaced");
+        }
     }
     token.advance(database_key(primary.service, primary.database), mark);
     co_return result<void>{};
 }
 
+asio::awaitable<result<bool>> write_path::outlived(const instance_view& replaced, write_mark mark,
+                                                   clock::time_point until) {
+    Json::Value payload;
+    payload["position"] = static_cast<Json::UInt64>(mark.position);
+    payload["entry_term"] = static_cast<Json::UInt64>(mark.term);
+    for (;;) {
+        auto leader = co_await m_links.await_primary(replaced.service, replaced.database, until, mark.term + 1);
+        if (!leader) {
+            co_return fail(errc::outcome_unknown, leader.error().message);
+        }
+        payload["term"] = static_cast<Json::UInt64>(leader->term);
+        auto found = co_await m_links.call(*leader, "find_entry", payload,
+                                           std::min(m_links.limits().pool_wait, time_left(until)), try_time(until));
+        // Its log is history only once a majority holds it: an entry of its
+        // own term stands at the end, so no later primary can lack it.
+        if (found && co_await m_links.confirm(*leader, mark_from(*found), time_left(until))) {
+            co_return (*found)["held"].asBool();
+        }
+        if (clock::now() + retry_pause >= until) {
+            co_return fail(errc::outcome_unknown, found ? "the new primary is not confirmed" : found.error().message);
+        }
+        co_await sleep_for(retry_pause);
+    }
+}
+
 answer write_path::serve(const execute_request& request, clock::time_point until) {
     auto payload = statement_payload(request);
     for (;;) {
@@ -159,7 +193,9 @@
     // answered only once a majority holds the log up to here.
     auto safe = co_await acknowledge(primary, found.seen_at, token, until);
     if (!safe) {
-        co_return std::unexpected{safe.error()};
+        // The mark is the log's end where the record was seen; the record
+        // stands before it and may be kept though the end was dropped.
+        co_return fail(errc::outcome_unknown, safe.error().message);
     }
     log_event(event::once_repeated, "instance=" + primary.key);
     auto out = statement_answer(found.answer, token, primary);
--- a/src/cornellever/proxy/write_path.hpp
+++ b/src/cornellever/proxy/write_path.hpp
@@ -35,6 +35,8 @@
                       session_token& token, clock::time_point until);
 
     /// Waits for a write at `mark` to be confirmed and raises `token`.
+    /// Errors: `not_run` when a later primary's log lacks the write and a
+    /// majority follows it; `outcome_unknown` when neither was learnt in time.
     asio::awaitable<result<void>> acknowledge(const instance_view& primary, write_mark mark, session_token& token,
                                               clock::time_point until);
 
@@ -49,6 +51,10 @@
     answer look_up(const instance_view& primary, const std::string& request_id, session_token& token,
                    clock::time_point until);
 
+    /// Whether a write of `replaced` is in the log of a later primary that a
+    /// majority follows. Errors: `outcome_unknown` when that was not learnt by `until`.
+    asio::awaitable<result<bool>> outlived(const instance_view& replaced, write_mark mark, clock::time_point until);
+
     backend_links& m_links;
     request_record m_record;
 };
