Primaries are judged by service, from servers grouped once a change

Cause: ten times a second each proxy went through all registered servers for each service of the configuration, also for those without any server, and through all peers' reports for each service that has one.

Their bytes are not ruled out by this.

Fix: the registry is grouped by service when it changes, peers' reports once a tick; services without servers cost nothing. What peers are told (sights) is kept apart from the services watched, as each message walked over all of these. The same search in the traffic side (servers of each pool at each change) uses the same grouping.

Test: servers_are_listed_by_service.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -11,6 +11,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -114,9 +116,15 @@
         primary_verdict verdict{primary_verdict::fine};
         bool replacing{false};
         time_point not_before{};
-        std::optional<service_sight> seen{};
     };
 
+    /// What a peer says of a primary, and the time from which its ages count.
+    struct heard_report {
+        const primary_report* report{nullptr};
+        time_point at{};
+    };
+    using reports_by_service = std::unordered_map<std::string_view, std::vector<heard_report>>;
+
     struct asked {
         time_point sent_at;
     };
@@ -155,9 +163,15 @@
     void ask(const peers_to_ask& peers);
     void send(const peer_message& message, std::span<const asio::ip::udp::endpoint> to);
     [[nodiscard]] peer_message message_now(peer_message::kind what) const;
-    void look_after(const std::string& service, watch& at);
-    [[nodiscard]] primary_verdict verdict_on(const std::string& service, watch& at,
-                                             std::vector<primary_view>& views) const;
+    void look_after_primaries();
+    void look_after(const std::string& service, std::span<const routing::backend_server* const> servers, watch& at,
+                    const reports_by_service& heard);
+    /// What peers that are alive say; valid until the next message of one.
+    [[nodiscard]] reports_by_service reports_heard() const;
+    /// Null for a service that this proxy has not used.
+    [[nodiscard]] const service_sight* sight_of(const std::string& service) const;
+    [[nodiscard]] primary_verdict verdict_on(const std::string& service, const watch& at,
+                                             const reports_by_service& heard, std::vector<primary_view>& views) const;
     [[nodiscard]] std::chrono::milliseconds turn_delay(const std::string& service) const;
     [[nodiscard]] bool suspicious() const;
     void share_budget();
@@ -223,6 +237,9 @@
     routing::configuration m_config;
     registry_keeper m_registry;
     std::map<std::string, watch, std::less<>> m_watched;
+    /// What the traffic side last saw of the services that it uses, by name. Far
+    /// fewer than all services, and told in every message.
+    std::map<std::string, service_sight, std::less<>> m_sights;
     std::map<std::uint64_t, asked> m_questions;
     std::uint64_t m_last_nonce{0};
     /// Tells the proxies of this deployment from those of others; 0 until it
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -112,7 +112,8 @@
         co_await sleep_for(tick_period);
         const auto seen = co_await m_bridge.sights();
         for (const auto& item : seen) {
-            m_watched[item.service].seen = item;
+            m_watched.try_emplace(item.service);
+            m_sights.insert_or_assign(item.service, item);
         }
         const auto now = boot_clock::now();
         if (m_registry.expire(now)) {
@@ -126,9 +127,7 @@
             ask_peers();
         }
         if (!m_leaving) {
-            for (auto& [service, at] : m_watched) {
-                look_after(service, at);
-            }
+            look_after_primaries();
         }
     }
 }
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -23,11 +23,11 @@
                      .config_age = age_of(followed::configuration),
                      .registry_age = age_of(followed::servers),
                      .store_reachable = m_store_reachable()};
-    for (const auto& [name, at] : m_watched) {
-        if (!at.seen || at.seen->primary.id.empty()) {
+    for (const auto& [name, seen] : m_sights) {
+        const auto& sight = seen.primary;
+        if (sight.id.empty()) {
             continue;
         }
-        const auto& sight = at.seen->primary;
         primary_report report{.service = name,
                               .primary = sight.id,
                               .confirmed_age = age(sight.confirmed_at),
@@ -36,8 +36,8 @@
                               .refused = sight.refused,
                               .log_lost = sight.log_lost,
                               .furthest = sight.furthest};
-        if (what == peer_message::kind::answer && at.seen->sample) {
-            report.sample = aged_sample{age(at.seen->sample->asked_at), at.seen->sample->position};
+        if (what == peer_message::kind::answer && seen.sample) {
+            report.sample = aged_sample{age(seen.sample->asked_at), seen.sample->position};
         }
         out.primaries.push_back(std::move(report));
     }
@@ -58,10 +58,8 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::ask_peers() {
     std::set<std::string, std::less<>> used;
-    for (const auto& [service, at] : m_watched) {
-        if (at.seen) {
-            used.insert(service);
-        }
+    for (const auto& [service, seen] : m_sights) {
+        used.insert(service);
     }
     // With many proxies each asks a few, so that the work of one does not grow
     // with their number.
@@ -207,8 +205,9 @@
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 bool control<Store, Orders, Connector>::suspicious() const {
-    return std::ranges::any_of(m_watched, [](const auto& item) {
-        return item.second.seen && (item.second.seen->primary.unreachable || item.second.seen->primary.id.empty());
+    return std::ranges::any_of(m_sights, [](const auto& item) {
+        const auto& sight = item.second.primary;
+        return sight.unreachable || sight.id.empty();
     });
 }
 
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -5,7 +5,29 @@
 namespace cornellever::cluster {
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-primary_verdict control<Store, Orders, Connector>::verdict_on(const std::string& service, watch& at,
+const service_sight* control<Store, Orders, Connector>::sight_of(const std::string& service) const {
+    const auto found = m_sights.find(service);
+    return found == m_sights.end() ? nullptr : &found->second;
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+auto control<Store, Orders, Connector>::reports_heard() const -> reports_by_service {
+    const auto now = boot_clock::now();
+    reports_by_service out;
+    for (const auto& [name, item] : m_members.peers()) {
+        if (!membership::is_alive(item, now)) {
+            continue;
+        }
+        for (const auto& report : item.primaries) {
+            out[report.service].push_back({&report, item.reported_at});
+        }
+    }
+    return out;
+}
+
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+primary_verdict control<Store, Orders, Connector>::verdict_on(const std::string& service, const watch& at,
+                                                              const reports_by_service& heard,
                                                               std::vector<primary_view>& views) const {
     const auto now = boot_clock::now();
     const auto age = [now](time_point then) {
@@ -18,18 +40,15 @@
     if (m_store_reachable()) {
         evidence.entry.missing_for = m_registry.missing_for(at.primary, now);
     }
-    if (at.seen && at.seen->primary.id == at.primary) {
-        const auto& sight = at.seen->primary;
+    if (const auto* seen = sight_of(service); seen != nullptr && seen->primary.id == at.primary) {
+        const auto& sight = seen->primary;
         evidence.own = primary_view{age(sight.heard_at), sight.unreachable, sight.refused, sight.log_lost};
     }
-    for (const auto& [name, item] : m_members.peers()) {
-        if (!membership::is_alive(item, now)) {
-            continue;
-        }
-        for (const auto& report : item.primaries) {
-            if (report.service == service && report.primary == at.primary) {
+    if (const auto found = heard.find(service); found != heard.end()) {
+        for (const auto& [report, counted_from] : found->second) {
+            if (report->primary == at.primary) {
                 views.push_back(
-                    {report.heard_age + age(item.reported_at), report.unreachable, report.refused, report.log_lost});
+                    {report->heard_age + age(counted_from), report->unreachable, report->refused, report->log_lost});
             }
         }
     }
@@ -58,38 +77,45 @@
     return turn_step * std::min<std::ptrdiff_t>(place, longest_turn);
 }
 
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::look_after_primaries() {
+    const auto heard = reports_heard();
+    for (const auto& [service, servers] : m_registry.by_service()) {
+        if (const auto at = m_watched.find(service); at != m_watched.end()) {
+            look_after(service, servers, at->second, heard);
+        }
+    }
+}
+
 /// Decides whether a service's primary is to be replaced, and whether by this
 /// proxy now.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-void control<Store, Orders, Connector>::look_after(const std::string& service, watch& at) {
+void control<Store, Orders, Connector>::look_after(const std::string& service,
+                                                   std::span<const routing::backend_server* const> servers, watch& at,
+                                                   const reports_by_service& heard) {
     const auto now = boot_clock::now();
-    const auto& servers = m_registry.effective().servers;
-    if (at.replacing || servers.empty() || now < at.not_before) {
+    if (at.replacing || now < at.not_before) {
         return;
     }
     std::string registered;
-    bool any = false;
-    for (const auto& [id, server] : servers) {
-        any = any || server.service == service;
-        if (server.service == service && server.role == routing::server_role::primary &&
-            !m_registry.missing_for(id, now)) {
-            registered = id;
+    for (const auto* server : servers) {
+        if (server->role == routing::server_role::primary && !m_registry.missing_for(server->id, now)) {
+            registered = server->id;
         }
     }
-    if (!any) {
-        return;
-    }
-    if (at.seen && !at.seen->primary.id.empty()) {
-        at.primary = at.seen->primary.id;
+    const auto* seen = sight_of(service);
+    const bool sees_primary = seen != nullptr && !seen->primary.id.empty();
+    if (sees_primary) {
+        at.primary = seen->primary.id;
     } else if (!registered.empty()) {
         at.primary = registered;
     }
-    const bool leaderless = registered.empty() && (!at.seen || at.seen->primary.id.empty());
+    const bool leaderless = registered.empty() && !sees_primary;
     if (!leaderless) {
         at.leaderless_since = now;
     }
     std::vector<primary_view> views;
-    auto verdict = verdict_on(service, at, views);
+    auto verdict = verdict_on(service, at, heard, views);
     if (verdict == primary_verdict::fine && now - at.leaderless_since > leaderless_for) {
         verdict = primary_verdict::lost;
     }
@@ -99,8 +125,8 @@
         log_event(event::primary_judged,
                   "service=" + service + " primary=" + at.primary + " verdict=" + std::string{to_string(verdict)} +
                       " peers=" + std::to_string(views.size()) +
-                      (at.seen && at.seen->primary.log_lost ? " log_lost=1" : "") +
-                      (at.seen ? " heard_ms=" + std::to_string(to_ms(now - at.seen->primary.heard_at)) : ""));
+                      (seen != nullptr && seen->primary.log_lost ? " log_lost=1" : "") +
+                      (seen != nullptr ? " heard_ms=" + std::to_string(to_ms(now - seen->primary.heard_at)) : ""));
     }
     if (verdict == primary_verdict::fine || now - at.judged_since < turn_delay(service)) {
         return;
--- a/src/cornellever/cluster/registry_keeper.cpp
+++ b/src/cornellever/cluster/registry_keeper.cpp
@@ -21,6 +21,7 @@
         next.servers.emplace(id, server);
     }
     m_effective = std::move(next);
+    m_by_service = routing::group_by_service(m_effective);
     expire(now);
 }
 
@@ -34,6 +35,9 @@
     for (const auto& id : late) {
         m_effective.servers.erase(id);
     }
+    if (!late.empty()) {
+        m_by_service = routing::group_by_service(m_effective);
+    }
     return !late.empty();
 }
 
--- a/src/cornellever/cluster/registry_keeper.hpp
+++ b/src/cornellever/cluster/registry_keeper.hpp
@@ -7,6 +7,7 @@
 
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/routing/model.hpp"
+#include "cornellever/routing/servers_by_service.hpp"
 
 namespace cornellever::cluster {
 
@@ -18,6 +19,10 @@
 public:
     using time_point = boot_clock::time_point;
 
+    registry_keeper() = default;
+    registry_keeper(const registry_keeper&) = delete;
+    registry_keeper& operator=(const registry_keeper&) = delete;
+
     /// Takes the registered servers as they are now.
     void take(const routing::registry& registered, time_point now);
 
@@ -33,6 +38,9 @@
 
     [[nodiscard]] const routing::registry& effective() const noexcept { return m_effective; }
 
+    /// The servers of `effective` by their service; valid until the next change.
+    [[nodiscard]] const routing::servers_by_service& by_service() const noexcept { return m_by_service; }
+
     /// What is registered, without what is kept. Peers are told this: what one
     /// proxy keeps must not look registered to another.
     [[nodiscard]] const routing::registry& registered() const noexcept { return m_registered; }
@@ -49,6 +57,7 @@
 
     routing::registry m_registered;
     routing::registry m_effective;
+    routing::servers_by_service m_by_service;
     std::map<std::string, time_point, std::less<>> m_missing_since;
 };
 
--- /dev/null
+++ b/src/cornellever/routing/servers_by_service.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cornellever/routing/model.hpp"
+
+namespace cornellever::routing {
+
+/// The servers of a registry by their service, each in the order of ids.
+using servers_by_service = std::map<std::string, std::vector<const backend_server*>, std::less<>>;
+
+/// Points into `servers`, which has to outlive the result unchanged.
+[[nodiscard]] inline servers_by_service group_by_service(const registry& servers) {
+    servers_by_service out;
+    for (const auto& [id, server] : servers.servers) {
+        out[server.service].push_back(&server);
+    }
+    return out;
+}
+
+} // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -74,7 +74,7 @@
     [[nodiscard]] bool armed_now(const slot& held) const { return held.armed && held.armed_at >= m_epoch; }
 
     /// Takes the registered servers of the service.
-    void update(const std::vector<const backend_server*>& servers);
+    void update(std::span<const backend_server* const> servers);
 
     /// A connection for `want`, waiting for one until `want.until`; none when
     /// that passes.
@@ -210,7 +210,7 @@
         bool out_of_time{false};
     };
 
-    std::set<std::string, std::less<>> retire_all_but(const std::vector<const backend_server*>& servers);
+    std::set<std::string, std::less<>> retire_all_but(std::span<const backend_server* const> servers);
     void retire(entry& leaving);
     void close_idle(entry& at);
     [[nodiscard]] bool suits(const connection_want& want, const entry& at, time_point now) const;
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -3,7 +3,7 @@
 namespace cornellever::routing {
 
 template <link_connector Connector>
-void service_pool<Connector>::update(const std::vector<const backend_server*>& servers) {
+void service_pool<Connector>::update(std::span<const backend_server* const> servers) {
     const auto now = boot_clock::now();
     const auto reborn = retire_all_but(servers);
     for (const auto* item : servers) {
@@ -39,7 +39,7 @@
 /// them is not so any more.
 template <link_connector Connector>
 std::set<std::string, std::less<>>
-service_pool<Connector>::retire_all_but(const std::vector<const backend_server*>& servers) {
+service_pool<Connector>::retire_all_but(std::span<const backend_server* const> servers) {
     std::set<std::string, std::less<>> out;
     for (auto at = m_entries.begin(); at != m_entries.end();) {
         const auto found = std::ranges::find_if(servers, [&](const auto* item) { return item->id == at->first; });
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "cornellever/core/log.hpp"
 #include "cornellever/core/stable_hash.hpp"
 #include "cornellever/routing/model.hpp"
+#include "cornellever/routing/servers_by_service.hpp"
 #include "cornellever/routing/service_pool.hpp"
 #include "cornellever/session/caller.hpp"
 #include "cornellever/session/conversation.hpp"
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -30,14 +30,10 @@
 
 template <routing::link_connector Connector>
 void traffic<Connector>::share_servers() {
+    const auto registered = routing::group_by_service(m_registry);
     for (auto& [name, backends] : m_pools) {
-        std::vector<const routing::backend_server*> own;
-        for (const auto& [id, server] : m_registry.servers) {
-            if (server.service == name) {
-                own.push_back(&server);
-            }
-        }
-        backends->update(own);
+        const auto own = registered.find(name);
+        backends->update(own == registered.end() ? std::span<const routing::backend_server* const>{} : own->second);
     }
 }
 
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -398,6 +398,28 @@
     BOOST_TEST(!keeper.effective().servers.contains("r1"));
 }
 
+// Guards against judging a service by servers that are gone, or not by those that came.
+BOOST_AUTO_TEST_CASE(servers_are_listed_by_service) {
+    routing::registry registered;
+    registered.version = 1;
+    registered.servers.emplace("a1", routing::backend_server{.id = "a1", .service = "a"});
+    registered.servers.emplace("a2", routing::backend_server{.id = "a2", .service = "a"});
+    registered.servers.emplace("b1", routing::backend_server{.id = "b1", .service = "b"});
+    cluster::registry_keeper keeper;
+    keeper.take(registered, start);
+    BOOST_TEST(keeper.by_service().size() == 2U);
+    BOOST_TEST(keeper.by_service().at("a").size() == 2U);
+    registered.version = 2;
+    registered.servers.erase("a2");
+    registered.servers.emplace("c1", routing::backend_server{.id = "c1", .service = "c"});
+    keeper.take(registered, start + 1s);
+    BOOST_TEST(keeper.by_service().at("a").size() == 2U);
+    BOOST_TEST(keeper.by_service().at("c").front()->id == "c1");
+    BOOST_TEST(keeper.expire(start + 10s));
+    BOOST_TEST(keeper.by_service().at("a").size() == 1U);
+    BOOST_TEST(keeper.by_service().at("a").front()->id == "a1");
+}
+
 // A proxy keeps a configuration that was replaced long ago: the store dropped
 // the history from which it would have learned of the change.
 BOOST_AUTO_TEST_CASE(the_whole_table_is_read_again_when_its_history_is_gone) {
