A version of the operators' row is decoded once

Cause: the operators' table was taken as a whole at every change of any of its rows, and the configuration decoded again.

Whether other rows of the table or the configuration itself changed cannot be told from it, so this is a suspect mended, not a cause shown.

Tests: unit table_readers (once a version; a refused one stays refused; one that could not be taken is read again).

--- /dev/null
+++ b/tests/unit/table_readers.cpp
@@ -0,0 +1,78 @@
+#include <stdexcept>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cornellever/cluster/configuration_reader.hpp"
+
+using namespace cornellever;
+
+namespace {
+
+int decodings = 0;
+
+result<routing::configuration> decode(std::string_view text) {
+    ++decodings;
+    if (text == "bad") {
+        return fail(errc::bad_request, "not a configuration");
+    }
+    routing::configuration out;
+    out.version = text.size();
+    return out;
+}
+
+using reader = cluster::configuration_reader<decltype(&decode)>;
+
+cluster::table_rows rows_with(std::string value, std::uint64_t version) {
+    cluster::table_rows out;
+    out.emplace("config", cluster::store_row{.key = "config", .value = std::move(value), .version = version});
+    out.emplace("other", cluster::store_row{.key = "other", .value = "x", .version = version + 1});
+    return out;
+}
+
+struct taken_versions {
+    void operator()(const routing::configuration& config) { versions->push_back(config.version); }
+    std::vector<std::uint64_t>* versions;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(table_readers)
+
+// Guards against decoding a long configuration again at every change of another row.
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_once_a_version) {
+    decodings = 0;
+    reader subject{"config", &decode};
+    std::vector<std::uint64_t> versions;
+    const taken_versions take{&versions};
+    BOOST_TEST(subject.read(rows_with("v", 3), take).value());
+    auto same = rows_with("v", 3);
+    same.at("other").version = 9;
+    BOOST_TEST(subject.read(same, take).value());
+    BOOST_TEST(decodings == 1);
+    BOOST_TEST(subject.read(rows_with("vv", 10), take).value());
+    BOOST_TEST((versions == std::vector<std::uint64_t>{1, 2}));
+}
+
+// Guards against a refused configuration that counts as taken after another row's change.
+BOOST_AUTO_TEST_CASE(a_refused_configuration_stays_refused) {
+    reader subject{"config", &decode};
+    std::vector<std::uint64_t> versions;
+    const taken_versions take{&versions};
+    BOOST_TEST(!subject.read({}, take).has_value());
+    BOOST_TEST(subject.read(rows_with("v", 3), take).value());
+    BOOST_TEST(!subject.read(rows_with("bad", 4), take).value());
+    BOOST_TEST(!subject.read(rows_with("bad", 4), take).value());
+    BOOST_TEST(subject.read(rows_with("vv", 5), take).value());
+}
+
+// Guards against a configuration that could not be taken and counts as if it were.
+BOOST_AUTO_TEST_CASE(a_configuration_that_was_not_taken_is_read_again) {
+    reader subject{"config", &decode};
+    const auto fails = [](const routing::configuration&) { throw std::runtime_error{"no memory"}; };
+    BOOST_CHECK_THROW(subject.read(rows_with("v", 3), fails), std::runtime_error);
+    std::vector<std::uint64_t> versions;
+    BOOST_TEST(subject.read(rows_with("v", 3), taken_versions{&versions}).value());
+    BOOST_TEST(versions.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
