A store that lost the newest configuration proves nothing

Part of the issue on a store that returns from an older copy. What callers could see: a key that was taken away goes on working. The store returns from a copy that lacks the newest configuration; the proxies keep the one at hand, but the store's "nothing changed" counted as proof that it is the newest, although a newer one may have been lost with the same seconds.

Fix: the version that the store shows is kept beside what peers say; its word counts only while it shows no older one than the copy at hand. Otherwise the proof at hand ages, and requests with a key are refused once the lease on it ends, until the operators have written the configuration again. Event store.config_older.

Test: a_store_that_shows_an_older_copy_vouches_for_nothing (new function; the old code had nothing that knew the store's version).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -68,8 +68,11 @@
     /// Binds its addresses and begins; `unavailable` when one is taken.
     [[nodiscard]] result<void> start();
 
-    /// Takes a configuration or the registered servers, from the store.
-    void take(routing::configuration config);
+    /// Takes the configuration that the store shows; an older one than that at
+    /// hand changes nothing, but the store's word proves nothing until it has
+    /// caught up.
+    void take_stored(routing::configuration config);
+    /// Takes the registered servers, from the store.
     void take(const routing::registry& registered);
 
     /// Whether the store answers this proxy at present.
@@ -86,7 +89,7 @@
     /// to be replaced.
     void note_current(followed what, time_point at) {
         auto& news = m_followed.at(place(what));
-        if (what != followed::configuration || news.newest() <= m_config.version) {
+        if (what != followed::configuration || news.store_vouches_for(m_config.version)) {
             news.note_current(at);
         }
         tell_proof();
@@ -129,6 +132,7 @@
         time_point sent_at;
     };
 
+    void take(routing::configuration config);
     asio::awaitable<result<Json::Value>> dump();
     [[nodiscard]] static constexpr std::size_t place(followed what) { return static_cast<std::size_t>(what); }
     [[nodiscard]] std::uint64_t version_of(followed what) const {
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -51,6 +51,16 @@
     co_return out;
 }
 
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::take_stored(routing::configuration config) {
+    if (config.version < m_config.version) {
+        log_event(event::stored_config_older,
+                  "version=" + std::to_string(m_config.version) + " stored=" + std::to_string(config.version));
+    }
+    m_followed.at(place(followed::configuration)).note_stored(config.version);
+    take(std::move(config));
+}
+
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::take(routing::configuration config) {
     if (config.version <= m_config.version) {
--- a/src/cornellever/cluster/table_news.hpp
+++ b/src/cornellever/cluster/table_news.hpp
@@ -33,6 +33,16 @@
         }
     }
 
+    /// The store shows `version`. It may be older than the copy at hand: the store
+    /// has returned from an older copy of its own.
+    void note_stored(std::uint64_t version) noexcept { m_stored = version; }
+
+    /// Whether the store's word that nothing changed says that `mine` is the
+    /// newest. It does not where the store lost it, and with it perhaps a newer one.
+    [[nodiscard]] bool store_vouches_for(std::uint64_t mine) const noexcept {
+        return m_newest <= mine && m_stored >= mine;
+    }
+
     /// The newest version that a peer was heard to hold.
     [[nodiscard]] std::uint64_t newest() const noexcept { return m_newest; }
 
@@ -51,6 +61,7 @@
 
     time_point m_current_at{};
     std::uint64_t m_newest{0};
+    std::uint64_t m_stored{0};
     time_point m_newest_heard_at{};
 };
 
--- a/src/cornellever/core/event.cpp
+++ b/src/cornellever/core/event.cpp
@@ -21,6 +21,7 @@
     event_info{event::table_not_taken, "store.table_not_taken", severity::error},
     event_info{event::store_lost, "store.lost", severity::warning},
     event_info{event::store_returned, "store.returned", severity::warning},
+    event_info{event::stored_config_older, "store.config_older", severity::warning},
     event_info{event::store_regained, "store.regained", severity::info},
     event_info{event::instance_up, "instance.up", severity::info},
     event_info{event::instance_down, "instance.down", severity::warning},
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -26,6 +26,7 @@
     store_lost = 1110,
     store_regained = 1111,
     store_returned = 1112,
+    stored_config_older = 1113,
     instance_up = 1201,
     instance_down = 1202,
     failover_started = 1203,
--- a/tests/unit/store_watch.cpp
+++ b/tests/unit/store_watch.cpp
@@ -180,6 +180,21 @@
     BOOST_TEST(!news.behind(7, at + 4s));
 }
 
+// Guards against a store that lost the newest configuration and vouches for the one before.
+BOOST_AUTO_TEST_CASE(a_store_that_shows_an_older_copy_vouches_for_nothing) {
+    cluster::table_news news;
+    news.note_stored(6);
+    BOOST_TEST(news.store_vouches_for(6));
+    news.note_stored(5);
+    BOOST_TEST(!news.store_vouches_for(6));
+    BOOST_TEST(news.store_vouches_for(5));
+    news.note_stored(6);
+    BOOST_TEST(news.store_vouches_for(6));
+    const boot_clock::time_point at{1h};
+    news.hear(7, 6, at, at);
+    BOOST_TEST(!news.store_vouches_for(6));
+}
+
 BOOST_AUTO_TEST_CASE(calls_are_counted_by_table_and_purpose) {
     event_loop io;
     small_store store;
