--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -151,7 +151,7 @@
     [[nodiscard]] static std::uint64_t cluster_id(std::string_view name) noexcept {
         return stable_hash({name}) % 0xffffffffU + 1;
     }
-    [[nodiscard]] result<Json::Value> snapshot_for(std::uint64_t known_config_version, rpc::connection& to);
+    [[nodiscard]] result<Json::Value> snapshot_for(known_versions known, rpc::connection& to);
     asio::awaitable<void> catch_up(std::string from, asio::ip::address address);
     asio::awaitable<void> replace(std::string service, std::string old, primary_verdict why);
     void handle(const peer_message& message, const asio::ip::udp::endpoint& from);
@@ -263,7 +263,8 @@
     bool m_catching_up{false};
     time_point m_catch_up_after{};
     /// Of the configuration at hand, once it was asked for.
-    packed_configuration m_packed;
+    packed_part m_packed_config;
+    packed_part m_packed_registry;
     std::size_t m_uploads{0};
     bool m_leaving{false};
     /// Heard of since the last tick.
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -13,7 +13,9 @@
     }
     m_rpc.on("snapshot",
              [this](const Json::Value& params, rpc::connection& to) -> asio::awaitable<result<Json::Value>> {
-                 co_return snapshot_for(rpc::uint_field(params, "config_version"), to);
+                 co_return snapshot_for({.config = rpc::uint_field(params, "config_version"),
+                                         .registry = rpc::uint_field(params, "registry_version")},
+                                        to);
              });
     m_rpc.on("dump", [this](const Json::Value&, rpc::connection&) { return dump(); });
     if (auto bound = m_rpc.listen(m_settings.peers); !bound) {
--- a/src/cornellever/cluster/control_tables.ipp
+++ b/src/cornellever/cluster/control_tables.ipp
@@ -126,18 +126,21 @@
 /// What a peer that is behind asked for. `busy` while as many as the link may
 /// carry are on their way: another proxy has it soon, or has it by now.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-result<Json::Value> control<Store, Orders, Connector>::snapshot_for(std::uint64_t known_config_version,
-                                                                    rpc::connection& to) {
-    if (m_config.version > known_config_version) {
+result<Json::Value> control<Store, Orders, Connector>::snapshot_for(known_versions known, rpc::connection& to) {
+    if (m_config.version > known.config) {
         if (m_uploads >= most_uploads) {
             return fail(errc::busy, "other proxies are being sent the configuration");
         }
         to.until_written = std::make_shared<scoped_count>(m_uploads);
-        if (m_packed.version != m_config.version) {
-            m_packed = pack(m_config);
+        if (m_packed_config.version != m_config.version) {
+            m_packed_config = pack(m_config);
         }
     }
-    return snapshot_of(m_packed, m_registry.registered(), known_config_version);
+    const auto& servers = m_registry.registered();
+    if (servers.version > known.registry && m_packed_registry.version != servers.version) {
+        m_packed_registry = pack(servers);
+    }
+    return snapshot_of(m_packed_config, m_packed_registry, known);
 }
 
 /// Takes configuration and servers from a peer that has newer ones: the store
@@ -147,6 +150,7 @@
     rpc::channel link{m_executor, tcp::endpoint{address, m_settings.peers.port()}};
     Json::Value params{Json::objectValue};
     params["config_version"] = static_cast<Json::UInt64>(m_config.version);
+    params["registry_version"] = static_cast<Json::UInt64>(m_registry.registered().version);
     auto answer = co_await link.call("snapshot", std::move(params), catch_up_limit, catch_up_limit);
     m_catching_up = false;
     if (!answer) {
@@ -164,10 +168,17 @@
         log_event(event::config_refused, "peer=" + from + " reason=\"" + got.error().message + "\"");
         co_return;
     }
+    // A version of 0 is a part that was not newer.
     log_event(event::config_loaded, "peer=" + from + " version=" + std::to_string(got->config.version) +
                                         " registry=" + std::to_string(got->servers.version));
+    const bool newer_config = got->config.version > m_config.version;
     take(std::move(got->config));
-    take(got->servers);
+    if (newer_config) {
+        m_packed_config = std::move(got->packed_config);
+    }
+    if (got->servers.version != 0) {
+        take(got->servers);
+    }
 }
 
 } // namespace cornellever::cluster
--- a/src/cornellever/cluster/snapshot.cpp
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -107,8 +107,8 @@
     return out;
 }
 
-/// A snapshot's configuration is longer than this only by mistake.
-constexpr std::size_t longest_configuration = std::size_t{64} * 1024 * 1024;
+/// A part of a snapshot is longer than this only by mistake.
+constexpr std::size_t longest_part = std::size_t{64} * 1024 * 1024;
 
 Json::Value details_of(const routing::configuration& config) {
     Json::Value out;
@@ -164,64 +164,96 @@
     return {};
 }
 
-result<void> read_packed(const Json::Value& from, routing::configuration& out) {
-    const packed_text packed{.bytes = uint_field(from, "bytes"), .base64 = text_field(from, "packed")};
-    const auto text = unpack(packed, longest_configuration);
+Json::Value details_of(const routing::registry& servers) {
+    Json::Value out{Json::arrayValue};
+    for (const auto& [id, server] : servers.servers) {
+        out.append(to_json(server));
+    }
+    return out;
+}
+
+result<void> read_details(const Json::Value& from, routing::registry& out) {
+    if (!from.isArray()) {
+        return fail(errc::bad_request, "a snapshot's servers are not a list");
+    }
+    for (const auto& item : from) {
+        auto server = server_from(item);
+        if (!server) {
+            return std::unexpected{server.error()};
+        }
+        out.servers.insert_or_assign(server->id, std::move(*server));
+    }
+    return {};
+}
+
+Json::Value to_json(const packed_part& part) {
+    Json::Value out;
+    out["version"] = static_cast<Json::UInt64>(part.version);
+    out["bytes"] = static_cast<Json::UInt64>(part.text.bytes);
+    out["packed"] = part.text.base64;
+    return out;
+}
+
+packed_part part_from(const Json::Value& from) {
+    return {uint_field(from, "version"), {.bytes = uint_field(from, "bytes"), .base64 = text_field(from, "packed")}};
+}
+
+/// Takes what the part called `name` holds.
+template <typename Content>
+result<void> read_part(const packed_part& part, std::string_view name, Content& out) {
+    const auto text = unpack(part.text, longest_part);
     if (!text) {
         return std::unexpected{text.error()};
     }
     const auto details = rpc::parse_json(*text);
     if (!details) {
-        return fail(errc::bad_request, "a snapshot's configuration is not JSON");
+        return fail(errc::bad_request, "a snapshot's " + std::string{name} + " is not JSON");
     }
+    out.version = part.version;
     return read_details(*details, out);
 }
 
 } // namespace
 
-packed_configuration pack(const routing::configuration& config) {
+packed_part pack(const routing::configuration& config) {
     return {config.version, cornellever::pack(rpc::to_text(details_of(config)))};
 }
 
-Json::Value snapshot_of(const packed_configuration& config, const routing::registry& servers,
-                        std::uint64_t known_config_version) {
-    Json::Value out;
-    out["config_version"] = static_cast<Json::UInt64>(config.version);
-    if (config.version > known_config_version) {
-        out["config"]["bytes"] = static_cast<Json::UInt64>(config.text.bytes);
-        out["config"]["packed"] = config.text.base64;
+packed_part pack(const routing::registry& servers) {
+    return {servers.version, cornellever::pack(rpc::to_text(details_of(servers)))};
+}
+
+Json::Value snapshot_of(const packed_part& config, const packed_part& servers, known_versions known) {
+    Json::Value out{Json::objectValue};
+    if (config.version > known.config) {
+        out["config"] = to_json(config);
     }
-    out["registry_version"] = static_cast<Json::UInt64>(servers.version);
-    out["servers"] = Json::arrayValue;
-    for (const auto& [id, server] : servers.servers) {
-        out["servers"].append(to_json(server));
+    if (servers.version > known.registry) {
+        out["registry"] = to_json(servers);
     }
     return out;
 }
 
 Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
                     std::uint64_t known_config_version) {
-    return snapshot_of(pack(config), servers, known_config_version);
+    return snapshot_of(pack(config), pack(servers), {.config = known_config_version});
 }
 
 result<proxy_snapshot> snapshot_from_json(const Json::Value& from) {
-    if (!from.isObject() || !from["servers"].isArray()) {
+    if (!from.isObject()) {
         return fail(errc::bad_request, "not a snapshot");
     }
     proxy_snapshot out;
-    out.config.version = uint_field(from, "config_version");
     if (from.isMember("config")) {
-        if (auto read = read_packed(from["config"], out.config); !read) {
+        out.packed_config = part_from(from["config"]);
+        if (auto read = read_part(out.packed_config, "configuration", out.config); !read) {
             return std::unexpected{read.error()};
         }
     }
-    out.servers.version = uint_field(from, "registry_version");
-    for (const auto& item : from["servers"]) {
-        auto server = server_from(item);
-        if (!server) {
-            return std::unexpected{server.error()};
+    if (from.isMember("registry")) {
+        if (auto read = read_part(part_from(from["registry"]), "registry", out.servers); !read) {
+            return std::unexpected{read.error()};
         }
-        out.servers.servers.insert_or_assign(server->id, std::move(*server));
     }
     return out;
 }
--- a/src/cornellever/cluster/snapshot.hpp
+++ b/src/cornellever/cluster/snapshot.hpp
@@ -8,28 +8,37 @@
 
 namespace cornellever::cluster {
 
-/// What one proxy tells another that can't reach the store.
-struct proxy_snapshot {
-    routing::configuration config;
-    routing::registry servers;
-};
-
-/// A configuration as snapshots carry it. It is worked out once a version: many
-/// proxies ask for it at about the same time.
-struct packed_configuration {
+/// A part of a snapshot. It is worked out once a version: many proxies ask for
+/// it at about the same time.
+struct packed_part {
     std::uint64_t version{0};
     packed_text text;
 };
 
-[[nodiscard]] packed_configuration pack(const routing::configuration& config);
+/// The versions that a proxy has already; 0 where it has none.
+struct known_versions {
+    std::uint64_t config{0};
+    std::uint64_t registry{0};
+};
+
+[[nodiscard]] packed_part pack(const routing::configuration& config);
+[[nodiscard]] packed_part pack(const routing::registry& servers);
 
-/// The configuration is left out where the other has this version already.
-[[nodiscard]] Json::Value snapshot_of(const packed_configuration& config, const routing::registry& servers,
-                                      std::uint64_t known_config_version = 0);
+/// A part of which the other has this version already is left out.
+[[nodiscard]] Json::Value snapshot_of(const packed_part& config, const packed_part& servers, known_versions known);
 
 [[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
                                   std::uint64_t known_config_version = 0);
 
+/// What one proxy tells another that can't reach the store. A part that was left
+/// out is empty and has version 0.
+struct proxy_snapshot {
+    routing::configuration config;
+    routing::registry servers;
+    /// The configuration as it came, to be passed on.
+    packed_part packed_config;
+};
+
 /// Errors: `bad_request` when a field is missing or of another type.
 [[nodiscard]] result<proxy_snapshot> snapshot_from_json(const Json::Value& from);
 
--- a/src/cornellever/session/ownership.cpp
+++ b/src/cornellever/session/ownership.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <utility>
+#include <vector>
 
 #include "cornellever/core/stable_hash.hpp"
 #include "cornellever/routing/connection_budget.hpp"
@@ -39,19 +41,20 @@
     }
     const auto usable = routing::shared_connections(limit);
     const auto wanted = std::clamp<std::size_t>(usable / wanted_connections, 1, std::min(proxies.size(), most_owners));
-    std::map<std::string_view, std::vector<const proxy_place*>> by_place;
+    using ranked_place = std::pair<std::uint64_t, const proxy_place*>;
+    std::map<std::string_view, std::vector<ranked_place>> by_place;
     for (const auto& item : proxies) {
-        by_place[item.data_center].push_back(&item);
+        by_place[item.data_center].emplace_back(stable_hash({service, "/", item.name}), &item);
     }
     for (auto& [place, items] : by_place) {
-        std::ranges::sort(items, {}, [&](const auto* item) { return stable_hash({service, "/", item->name}); });
+        std::ranges::sort(items, {}, &ranked_place::first);
     }
     ownership out;
     // One of each data centre in turn: a session finds an owner nearby.
     for (std::size_t rank = 0; out.owners.size() < wanted; ++rank) {
         for (const auto& [place, items] : by_place) {
             if (rank < items.size() && out.owners.size() < wanted) {
-                out.owners.push_back(*items[rank]);
+                out.owners.push_back(*items[rank].second);
             }
         }
     }
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -344,6 +344,28 @@
     BOOST_TEST(std::ranges::all_of(asked.related, [](const auto& item) { return item.port() < 7004; }));
 }
 
+// Guards against sending to every proxy that is behind what it has already.
+BOOST_AUTO_TEST_CASE(a_snapshot_leaves_out_what_the_other_has) {
+    const auto config = cluster::pack(test::three_databases(4));
+    auto servers = test::three_servers();
+    for (auto& [id, server] : servers.servers) {
+        BOOST_TEST_REQUIRE(parse_endpoint("10.0.0.7:80", server.address));
+    }
+    servers.version = 9;
+    const auto listed = cluster::pack(servers);
+    const auto newer_config = cluster::snapshot_from_json(cluster::snapshot_of(config, listed, {3, 9})).value();
+    BOOST_TEST(newer_config.config.version == 4U);
+    BOOST_TEST(newer_config.servers.version == 0U);
+    BOOST_TEST(newer_config.packed_config.text.base64 == config.text.base64);
+    const auto newer_servers = cluster::snapshot_from_json(cluster::snapshot_of(config, listed, {4, 8})).value();
+    BOOST_TEST(newer_servers.config.version == 0U);
+    BOOST_TEST(newer_servers.servers.version == 9U);
+    BOOST_TEST(newer_servers.servers.servers.size() == 3U);
+    auto spoilt = cluster::snapshot_of(config, listed, {});
+    spoilt["registry"]["packed"] = "x";
+    BOOST_TEST(!cluster::snapshot_from_json(spoilt));
+}
+
 BOOST_AUTO_TEST_CASE(a_snapshot_is_read_as_it_was_written) {
     const auto config = test::three_databases(4);
     auto servers = test::three_servers();
