One piece of code for each: limits, majorities, a stand-in replica, a sight's lookup

Found on reading the whole change once more; behaviour stays as it is.

- majority_of moves from proxy/ to core/, and the backend's quiesce calls it instead of working a majority out by itself.
- The registry was grouped by service twice at a change that also expires a server.
- A service's sight was looked up twice for each judgement, and all reports were handed down where those of the service are needed.
- confirmer's and replaced_writes' tests had a stand-in replica each; both use tests/unit/fake_replica.hpp.
No assertion is changed.

--- a/src/cornellever/backend/replication.cpp
+++ b/src/cornellever/backend/replication.cpp
@@ -4,6 +4,7 @@
 #include "cornellever/backend/instance.hpp"
 #include "cornellever/core/daemon.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/quorum.hpp"
 #include "cornellever/rpc/kept_channel.hpp"
 
 namespace cornellever::backend {
@@ -208,7 +209,7 @@
 bool instance::majority_holds_log() const {
     const auto whole = [&](const auto& item) { return item.second >= m_log.last(); };
     const auto holders = 1 + static_cast<std::size_t>(std::ranges::count_if(m_shipped, whole));
-    return 2 * holders > m_settings.replicas.size() + 1;
+    return holders >= majority_of(m_settings.replicas.size() + 1);
 }
 
 instance::answer instance::quiesce(params in, rpc::connection&) {
--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -169,13 +169,14 @@
     [[nodiscard]] peer_message message_now(peer_message::kind what) const;
     void look_after_primaries();
     void look_after(const std::string& service, std::span<const routing::backend_server* const> servers, watch& at,
-                    const reports_by_service& heard);
+                    std::span<const heard_report> heard);
     /// What peers that are alive say; valid until the next message of one.
     [[nodiscard]] reports_by_service reports_heard() const;
     /// Null for a service that this proxy has not used.
     [[nodiscard]] const service_sight* sight_of(const std::string& service) const;
-    [[nodiscard]] primary_verdict verdict_on(const std::string& service, const watch& at,
-                                             const reports_by_service& heard, std::vector<primary_view>& views) const;
+    [[nodiscard]] primary_verdict verdict_on(const watch& at, const service_sight* seen,
+                                             std::span<const heard_report> heard,
+                                             std::vector<primary_view>& views) const;
     [[nodiscard]] std::chrono::milliseconds turn_delay(const std::string& service) const;
     [[nodiscard]] bool suspicious() const;
     void share_budget();
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -26,8 +26,8 @@
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-primary_verdict control<Store, Orders, Connector>::verdict_on(const std::string& service, const watch& at,
-                                                              const reports_by_service& heard,
+primary_verdict control<Store, Orders, Connector>::verdict_on(const watch& at, const service_sight* seen,
+                                                              std::span<const heard_report> heard,
                                                               std::vector<primary_view>& views) const {
     const auto now = boot_clock::now();
     const auto age = [now](time_point then) {
@@ -40,16 +40,14 @@
     if (m_store_reachable()) {
         evidence.entry.missing_for = m_registry.missing_for(at.primary, now);
     }
-    if (const auto* seen = sight_of(service); seen != nullptr && seen->primary.id == at.primary) {
+    if (seen != nullptr && seen->primary.id == at.primary) {
         const auto& sight = seen->primary;
         evidence.own = primary_view{age(sight.heard_at), sight.unreachable, sight.refused, sight.log_lost};
     }
-    if (const auto found = heard.find(service); found != heard.end()) {
-        for (const auto& [report, counted_from] : found->second) {
-            if (report->primary == at.primary) {
-                views.push_back(
-                    {report->heard_age + age(counted_from), report->unreachable, report->refused, report->log_lost});
-            }
+    for (const auto& [report, counted_from] : heard) {
+        if (report->primary == at.primary) {
+            views.push_back(
+                {report->heard_age + age(counted_from), report->unreachable, report->refused, report->log_lost});
         }
     }
     evidence.peers = views;
@@ -82,7 +80,9 @@
     const auto heard = reports_heard();
     for (const auto& [service, servers] : m_registry.by_service()) {
         if (const auto at = m_watched.find(service); at != m_watched.end()) {
-            look_after(service, servers, at->second, heard);
+            const auto reports = heard.find(service);
+            look_after(service, servers, at->second,
+                       reports == heard.end() ? std::span<const heard_report>{} : reports->second);
         }
     }
 }
@@ -92,7 +92,7 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::look_after(const std::string& service,
                                                    std::span<const routing::backend_server* const> servers, watch& at,
-                                                   const reports_by_service& heard) {
+                                                   std::span<const heard_report> heard) {
     const auto now = boot_clock::now();
     if (at.replacing || now < at.not_before) {
         return;
@@ -115,7 +115,7 @@
         at.leaderless_since = now;
     }
     std::vector<primary_view> views;
-    auto verdict = verdict_on(service, at, heard, views);
+    auto verdict = verdict_on(at, seen, heard, views);
     if (verdict == primary_verdict::fine && now - at.leaderless_since > leaderless_for) {
         verdict = primary_verdict::lost;
     }
--- a/src/cornellever/cluster/registry_keeper.cpp
+++ b/src/cornellever/cluster/registry_keeper.cpp
@@ -21,8 +21,9 @@
         next.servers.emplace(id, server);
     }
     m_effective = std::move(next);
-    m_by_service = routing::group_by_service(m_effective);
-    expire(now);
+    if (!expire(now)) {
+        m_by_service = routing::group_by_service(m_effective);
+    }
 }
 
 bool registry_keeper::expire(time_point now) {
--- a/src/cornellever/cluster/snapshot.cpp
+++ b/src/cornellever/cluster/snapshot.cpp
@@ -234,11 +234,6 @@
     return out;
 }
 
-Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
-                    std::uint64_t known_config_version) {
-    return snapshot_of(pack(config), pack(servers), {.config = known_config_version});
-}
-
 result<proxy_snapshot> snapshot_from_json(const Json::Value& from) {
     if (!from.isObject()) {
         return fail(errc::bad_request, "not a snapshot");
--- a/src/cornellever/cluster/snapshot.hpp
+++ b/src/cornellever/cluster/snapshot.hpp
@@ -27,9 +27,6 @@
 /// A part of which the other has this version already is left out.
 [[nodiscard]] Json::Value snapshot_of(const packed_part& config, const packed_part& servers, known_versions known);
 
-[[nodiscard]] Json::Value to_json(const routing::configuration& config, const routing::registry& servers,
-                                  std::uint64_t known_config_version = 0);
-
 /// What one proxy tells another that can't reach the store. A part that was left
 /// out is empty and has version 0.
 struct proxy_snapshot {
--- a/src/cornellever/cluster/table_news.hpp
+++ b/src/cornellever/cluster/table_news.hpp
@@ -43,9 +43,6 @@
         return m_newest <= mine && m_stored >= mine;
     }
 
-    /// The newest version that a peer was heard to hold.
-    [[nodiscard]] std::uint64_t newest() const noexcept { return m_newest; }
-
     [[nodiscard]] time_point current_at() const noexcept { return m_current_at; }
 
     /// Whether a peer has had a newer version for so long that it should be here
--- a/src/cornellever/proxy/quorum.hpp
+++ b/src/cornellever/core/quorum.hpp
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace cornellever::proxy {
+namespace cornellever {
 
 /// The smallest number of `members` instances such that any two sets of
 /// that size share one.
@@ -15,4 +15,4 @@
     return majority_of(members) - 1;
 }
 
-} // namespace cornellever::proxy
+} // namespace cornellever
--- a/src/cornellever/proxy/backend_links.cpp
+++ b/src/cornellever/proxy/backend_links.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <vector>
 
+#include "cornellever/core/quorum.hpp"
 #include "cornellever/core/scoped_count.hpp"
 #include "cornellever/proxy/answer.hpp"
-#include "cornellever/proxy/quorum.hpp"
 #include "cornellever/rpc/fields.hpp"
 
 namespace cornellever::proxy {
--- a/src/cornellever/proxy/failover.hpp
+++ b/src/cornellever/proxy/failover.hpp
@@ -13,8 +13,8 @@
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/chart.hpp"
 #include "cornellever/core/error.hpp"
+#include "cornellever/core/quorum.hpp"
 #include "cornellever/proxy/group_record.hpp"
-#include "cornellever/proxy/quorum.hpp"
 #include "cornellever/proxy/write_mark.hpp"
 
 namespace cornellever::proxy {
--- a/src/cornellever/proxy/suspicion.cpp
+++ b/src/cornellever/proxy/suspicion.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cornellever/proxy/quorum.hpp"
+#include "cornellever/core/quorum.hpp"
 
 namespace cornellever::proxy {
 
--- a/src/cornellever/rpc/channel.cpp
+++ b/src/cornellever/rpc/channel.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
-
 std::string describe(const tcp::endpoint& peer) {
     return peer.address().to_string() + ":" + std::to_string(peer.port());
 }
--- a/src/cornellever/rpc/paced_read.hpp
+++ b/src/cornellever/rpc/paced_read.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -11,6 +12,9 @@
 
 namespace cornellever::rpc {
 
+/// A longer answer is refused.
+inline constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} * 1024 * 1024;
+
 /// However slowly its pieces come, a message is given up after so long.
 inline constexpr std::chrono::seconds longest_transfer{15};
 
--- a/tests/platform/registrations.cpp
+++ b/tests/platform/registrations.cpp
@@ -112,7 +112,7 @@
     routing::registry servers;
     servers.version = 3;
     servers.servers["i-1"] = platform::decode_server("i-1", registration()).value();
-    const auto again = cluster::snapshot_from_json(cluster::to_json({}, servers, 0));
+    const auto again = cluster::snapshot_from_json(cluster::snapshot_of({}, cluster::pack(servers), {}));
     BOOST_TEST_REQUIRE(again.has_value());
     BOOST_TEST((again->servers.servers.at("i-1") == servers.servers.at("i-1")));
 }
--- a/tests/unit/accounts.cpp
+++ b/tests/unit/accounts.cpp
@@ -255,7 +255,7 @@
 BOOST_AUTO_TEST_CASE(a_snapshot_for_a_peer_keeps_accounts_and_holds_no_key) {
     auto config = with_accounts(3);
     config.accounts.add({.name = "yard", .priority = 2, .limit = accounts::rate_limit{2.5, 4.0}});
-    const auto json = cluster::to_json(config, {});
+    const auto json = cluster::snapshot_of(cluster::pack(config), {}, {});
     BOOST_TEST(json.toStyledString().find("key-yard") == std::string::npos);
     const packed_text packed{json["config"]["bytes"].asUInt64(), json["config"]["packed"].asString()};
     const auto text = unpack(packed, 1'000'000).value();
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -373,7 +373,8 @@
     for (auto& [id, server] : servers.servers) {
         BOOST_TEST_REQUIRE(parse_endpoint("10.0.0.7:80", server.address));
     }
-    const auto back = cluster::snapshot_from_json(cluster::to_json(config, servers));
+    const auto back =
+        cluster::snapshot_from_json(cluster::snapshot_of(cluster::pack(config), cluster::pack(servers), {}));
     BOOST_TEST_REQUIRE(back.has_value());
     BOOST_TEST(back->config.version == 4U);
     BOOST_TEST((back->config.routes.at("own").reads == routing::consistency::read_your_writes));
@@ -381,7 +382,8 @@
     BOOST_TEST(back->servers.servers.at("p").draining);
     BOOST_TEST((back->servers.servers.at("p").role == routing::server_role::primary));
     BOOST_TEST(!cluster::snapshot_from_json(Json::Value{3}));
-    const auto known = cluster::snapshot_from_json(cluster::to_json(config, servers, 4));
+    const auto known =
+        cluster::snapshot_from_json(cluster::snapshot_of(cluster::pack(config), cluster::pack(servers), {.config = 4}));
     BOOST_TEST_REQUIRE(known.has_value());
     BOOST_TEST(known->config.routes.empty());
     BOOST_TEST(known->servers.servers.size() == 3U);
--- a/tests/unit/confirmer.cpp
+++ b/tests/unit/confirmer.cpp
@@ -3,47 +3,14 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cornellever/proxy/confirmer.hpp"
-#include "cornellever/rpc/server.hpp"
 #include "fake_peer.hpp"
+#include "fake_replica.hpp"
 
 using namespace cornellever;
 using namespace cornellever::proxy;
 using namespace cornellever::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A replica that holds a log up to `held` in `term`.
-struct fake_replica {
-    explicit fake_replica(asio::io_context& io) : server{io.get_executor()} {
-        server.on("await_received", [this](const Json::Value& in, rpc::connection&) { return confirm(in); });
-        self = {"r", server.listen(tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}).value()};
-        server.start();
-    }
-
-    asio::awaitable<result<Json::Value>> confirm(const Json::Value& in) {
-        ++asked;
-        const auto wanted = write_mark{in["term"].asUInt64(), in["position"].asUInt64()};
-        if (wanted.term < held.term) {
-            co_return fail(errc::fenced, "keeps a later term");
-        }
-        if (wanted > held) {
-            co_await sleep_for(10ms);
-            co_return fail(errc::behind, "not received");
-        }
-        Json::Value out;
-        out["received"] = static_cast<Json::UInt64>(held.position);
-        co_return out;
-    }
-
-    rpc::server server;
-    confirming_replica self;
-    write_mark held;
-    std::size_t asked{0};
-};
-
-} // namespace
-
 // The old primary took a write, but every replica has promised a later term.
 // The write must not be acknowledged, and its caller need not wait long.
 BOOST_AUTO_TEST_CASE(a_write_of_an_old_term_is_never_confirmed) {
--- a/tests/unit/failover.cpp
+++ b/tests/unit/failover.cpp
@@ -231,7 +231,7 @@
                         ++holders;
                     }
                 }
-                if (holders >= proxy::majority_of(3)) {
+                if (holders >= majority_of(3)) {
                     acknowledged.emplace_back(mark.position, mark.term);
                 }
             }
--- a/tests/unit/fake_group.hpp
+++ b/tests/unit/fake_group.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "cornellever/core/quorum.hpp"
 #include "cornellever/proxy/failover.hpp"
-#include "cornellever/proxy/quorum.hpp"
 
 namespace cornellever::test {
 
--- a/tests/unit/replaced_writes.cpp
+++ b/tests/unit/replaced_writes.cpp
@@ -1,12 +1,10 @@
-#include <array>
-
 #include <boost/test/unit_test.hpp>
 
 #include "cornellever/proxy/backend_links.hpp"
 #include "cornellever/proxy/write_path.hpp"
-#include "cornellever/rpc/server.hpp"
 #include "fake_backend.hpp"
 #include "fake_peer.hpp"
+#include "fake_replica.hpp"
 
 using namespace cornellever;
 using namespace cornellever::proxy;
@@ -17,27 +15,11 @@
 
 constexpr write_mark replaced_write{1, 40};
 
-/// An instance whose log ends at `held` and that keeps `held.term`.
-struct fake_instance {
-    explicit fake_instance(asio::io_context& io) : server{io.get_executor()} {
-        server.on("await_received", [this](const Json::Value& in, rpc::connection&) { return confirm(in); });
+/// An instance that leads once it is promoted.
+struct fake_instance : fake_replica {
+    explicit fake_instance(asio::io_context& io) : fake_replica{io} {
         server.on("find_entry", [this](const Json::Value& in, rpc::connection&) { return find(in); });
-        address = server.listen(tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}).value();
-        server.start();
-    }
-
-    asio::awaitable<result<Json::Value>> confirm(const Json::Value& in) {
-        const auto wanted = write_mark{in["term"].asUInt64(), in["position"].asUInt64()};
-        if (wanted.term < held.term) {
-            co_return fail(errc::fenced, "keeps a later term");
-        }
-        if (wanted > held) {
-            co_await sleep_for(10ms);
-            co_return fail(errc::behind, "not received");
-        }
-        Json::Value out;
-        out["received"] = static_cast<Json::UInt64>(held.position);
-        co_return out;
+        held = {2, 41};
     }
 
     asio::awaitable<result<Json::Value>> find(const Json::Value& in) {
@@ -49,19 +31,16 @@
         co_return out;
     }
 
-    rpc::server server;
-    tcp::endpoint address;
-    write_mark held{2, 41};
     bool holds_replaced_write{true};
 };
 
 /// A proxy whose primary, walu, was replaced by laucala in term 2.
 struct rig {
     rig() {
-        auto known = one_instance(walu.address);
+        auto known = one_instance(walu.self.address);
         auto& instances = known.services[0].databases[0].instances;
-        instances.push_back({"laucala", "laucala", to_string(laucala.address), 2});
-        instances.push_back({"nabua", "nabua", to_string(nabua.address), 2});
+        instances.push_back({"laucala", "laucala", to_string(laucala.self.address), 2});
+        instances.push_back({"nabua", "nabua", to_string(nabua.self.address), 2});
         links.update(known);
         links.record(primary_beat());
         old_primary = *links.known().primary("stockbook", "orders", std::chrono::steady_clock::now());
