Soak: record the faults of each run and replay them from a file

Clean plays of a seed show nothing about its finding.

Each kind of fault now draws its arguments first (target, values) and injects them second. Draws are made in the same order from the same generators as before, and no check or strike changed: seed 1, its arguments and its checks are what they were. One thing is stricter: a fault that found no target no longer counts as an unplanned fault, which suspends the checks of planned stops for 4 s.

--isolated N adds rounds in which a primary loses its log while no proxy reaches its replicas and most or all proxies were just killed.

Proxies end with their soak (they outlived one that was killed and kept its addresses), and a run whose addresses are taken says so and exits with 2. Weighed and not taken: a generator that only the faults draw from. It would give one sequence per seed, but another one than seed 1 plays now.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,10 +6,36 @@
 #include "cornellever/core/daemon.hpp"
 #include "scenario.hpp"
 
-// Runs the fault soak with one seed; exits with 1 when a guarantee was violated.
-// The proxies' logs stay in the folder.
+namespace {
+
+using namespace cornellever;
+
+/// Runs a scenario; returns the number of violations. Throws the exception that ended the scenario, if any.
+std::size_t play(soak::scenario_settings settings) {
+    event_loop io;
+    std::size_t violations = 0;
+    std::exception_ptr error;
+    {
+        soak::scenario scenario_run{io, std::move(settings)};
+        asio::co_spawn(io, scenario_run.run(), [&](std::exception_ptr failed, std::size_t found) {
+            violations = found;
+            error = std::move(failed);
+            io.stop();
+        });
+        io.run();
+        io.destroy_suspended_coroutines();
+    }
+    if (error) {
+        std::rethrow_exception(error);
+    }
+    return violations;
+}
+
+} // namespace
+
+// Runs the fault soak with one seed; exits with 1 when a guarantee was violated
+// and with 2 when the run failed. The proxies' logs stay in the folder.
 int main(int argc, char** argv) {
-    using namespace cornellever;
     TCLAP::CmdLine command_line{"Fault soak: real proxies, emulated servers and store", ' ', "1"};
     TCLAP::ValueArg<std::string> binary{"", "binary", "the cornellever binary", true, "", "path", command_line};
     TCLAP::ValueArg<std::string> folder{"", "folder", "folder for settings and logs", true, "", "path", command_line};
@@ -22,33 +48,32 @@
     TCLAP::ValueArg<int> store_restores{
         "",       "returns",   "rounds in which the store is restored from an older snapshot", false, 0,
         "number", command_line};
+    TCLAP::ValueArg<int> isolations{
+        "",       "isolated",  "rounds in which a primary loses its log while its replicas are unreachable", false, 0,
+        "number", command_line};
+    TCLAP::ValueArg<std::string> replay{
+        "", "replay", "file of faults to inject instead of drawing them", false, "", "path", command_line};
     TCLAP::ValueArg<std::size_t> proxies{"", "proxies", "proxy processes", false, 5, "number", command_line};
     TCLAP::ValueArg<std::size_t> callers{"", "callers", "concurrent callers", false, 24, "number", command_line};
     command_line.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     set_log_level(severity::error);
     std::filesystem::create_directories(folder.getValue());
-    event_loop io;
-    std::size_t violations = 1;
-    {
-        soak::scenario scenario_run{io, soak::scenario_settings{.binary = binary.getValue(),
-                                                                .folder = folder.getValue(),
-                                                                .seed = seed.getValue(),
-                                                                .planned = std::chrono::seconds{planned.getValue()},
-                                                                .faulty = std::chrono::seconds{faulty.getValue()},
-                                                                .log_loss_rounds = log_losses.getValue(),
-                                                                .store_restore_rounds = store_restores.getValue(),
-                                                                .proxies = proxies.getValue(),
-                                                                .callers = callers.getValue()}};
-        asio::co_spawn(io, scenario_run.run(), [&](const std::exception_ptr& failed, std::size_t found) {
-            violations = failed ? 1 : found;
-            if (failed) {
-                std::printf("the scenario failed with an exception\n");
-            }
-            io.stop();
-        });
-        io.run();
-        io.destroy_suspended_coroutines();
+    try {
+        const auto violations = play({.binary = binary.getValue(),
+                                      .folder = folder.getValue(),
+                                      .seed = seed.getValue(),
+                                      .planned = std::chrono::seconds{planned.getValue()},
+                                      .faulty = std::chrono::seconds{faulty.getValue()},
+                                      .log_loss_rounds = log_losses.getValue(),
+                                      .store_restore_rounds = store_restores.getValue(),
+                                      .isolation_rounds = isolations.getValue(),
+                                      .replay = replay.getValue(),
+                                      .proxies = proxies.getValue(),
+                                      .callers = callers.getValue()});
+        return violations == 0 ? 0 : 1;
+    } catch (const std::exception& error) {
+        std::printf("the run failed: %s (a run with the same seed uses the same addresses)\n", error.what());
+        return 2;
     }
-    return violations == 0 ? 0 : 1;
 }
--- a/tests/soak/proxy_process.cpp
+++ b/tests/soak/proxy_process.cpp
@@ -3,6 +3,9 @@
 #include <csignal>
 #include <fstream>
 
+#include <sys/prctl.h>
+
+#include <boost/process/extend.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
@@ -42,9 +45,12 @@
     const auto log = m_folder / (m_name + ".log");
     auto* out = std::fopen(log.c_str(), "ae");
     // The child must not inherit the sockets of the emulated servers: they would
-    // stay open there after they are closed here.
-    m_child = std::make_unique<process::child>(m_binary, "serve", "--settings", (m_folder / (m_name + ".ini")).string(),
-                                               process::std_out > out, process::std_err > out, process::limit_handles);
+    // stay open there after they are closed here. It must not outlive a soak
+    // that is killed either, because it would keep its addresses.
+    m_child = std::make_unique<process::child>(
+        m_binary, "serve", "--settings", (m_folder / (m_name + ".ini")).string(), process::std_out > out,
+        process::std_err > out, process::limit_handles,
+        process::extend::on_exec_setup([](auto&) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); }));
     std::fclose(out);
     started_at = boot_clock::now();
     stopping_since.reset();
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -31,6 +31,13 @@
 constexpr auto registration_ttl = 3600ms;
 /// Time without faults after which all services have to work again.
 constexpr auto recovery_time = 10s;
+/// The last record of a fault file, so that a replay lasts as long as the run that wrote the file.
+constexpr std::string_view end_of_faults{"end of the faults"};
+
+/// A server's id without the generation that a replacement adds.
+std::string base_name(const std::string& id) {
+    return id.substr(0, id.find("-g"));
+}
 
 } // namespace
 
@@ -40,7 +47,12 @@
     , m_random{m_settings.seed}
     , m_independent_random{~m_settings.seed}
     , m_log_loss_random{m_settings.seed ^ 0x656d7074U}
-    , m_store_restore_random{m_settings.seed ^ 0x72657475U} {
+    , m_store_restore_random{m_settings.seed ^ 0x72657475U}
+    , m_isolation_random{m_settings.seed ^ 0x69736f6cU}
+    , m_fault_file{m_settings.folder / "faults.txt"} {
+    if (!m_settings.replay.empty()) {
+        m_replayed = read_faults(m_settings.replay);
+    }
     const auto make_endpoint = [this](unsigned last, unsigned short port) {
         return tcp::endpoint{asio::ip::make_address(address(last)), port};
     };
@@ -218,9 +230,9 @@
     }
 }
 
-std::string scenario::drain_server(emulated_server& server) {
+void scenario::drain_server(emulated_server& server) {
     if (server.draining || !server.running()) {
-        return "-";
+        return;
     }
     server.draining = true;
     const auto started_at = boot_clock::now();
@@ -233,202 +245,38 @@
         m_published.erase(server.id());
         server.draining = false;
         server.no_new_work_after.reset();
-        server.assign_id(server.id().substr(0, server.id().find("-g")) + "-g" + std::to_string(++m_replacements));
+        server.assign_id(base_name(server.id()) + "-g" + std::to_string(++m_replacements));
         schedule(800ms, [&server] { server.start(); });
     });
-    return server.id();
 }
 
-void scenario::list_process_faults() {
-    const auto stop_one = [this](proxy_process& proxy) {
-        if (proxy.running() && !proxy.stopping_since) {
-            proxy.stopping_since = boot_clock::now();
-            proxy.signal(SIGTERM);
+proxy_process& scenario::proxy_named(std::string_view name) {
+    const auto found = std::ranges::find(m_proxies, name, [](const auto& item) { return item->name(); });
+    if (found == m_proxies.end()) {
+        throw std::runtime_error{"unknown proxy '" + std::string{name} + "'"};
+    }
+    return **found;
+}
+
+emulated_server& scenario::server_named(const std::string& id) {
+    for (auto& service : m_services) {
+        for (auto& server : service->servers()) {
+            if (base_name(server->id()) == base_name(id)) {
+                return *server;
+            }
         }
-    };
-    m_faults.push_back({"planned stop of a proxy", true, [this, stop_one] {
-                            auto& proxy = random_proxy();
-                            stop_one(proxy);
-                            return proxy.name();
-                        }});
-    m_faults.push_back({"planned stop of two proxies", true, [this, stop_one] {
-                            auto& first = random_proxy();
-                            auto& second = random_proxy();
-                            stop_one(first);
-                            schedule(1500ms, [&second, stop_one] { stop_one(second); });
-                            return first.name() + " " + second.name();
-                        }});
-    m_faults.push_back({"settings reload", true, [this] {
-                            auto& proxy = random_proxy();
-                            proxy.signal(SIGHUP);
-                            return proxy.name();
-                        }});
-    m_faults.push_back({"proxy killed", false, [this] {
-                            auto& proxy = random_proxy();
-                            proxy.signal(SIGKILL);
-                            return proxy.name();
-                        }});
-    m_faults.push_back({"several proxies killed", false, [this] {
-                            for (auto& item : m_proxies) {
-                                if (random_below(3) != 0) {
-                                    item->signal(SIGKILL);
-                                }
-                            }
-                            return std::string{};
-                        }});
-    m_faults.push_back({"proxy paused", false, [this] {
-                            auto& proxy = random_proxy();
-                            proxy.signal(SIGSTOP);
-                            proxy.paused_until = boot_clock::now() + random_between(200, 3000);
-                            return proxy.name();
-                        }});
-}
-
-void scenario::list_server_faults() {
-    m_faults.push_back({"server drained", true, [this] { return drain_server(random_server()); }});
-    m_faults.push_back({"primary drained", true, [this] { return drain_server(random_service().primary()); }});
-    m_faults.push_back({"primary crash", false, [this] {
-                            auto& server = random_service().primary();
-                            if (server.draining || !server.running()) {
-                                return std::string{"-"};
-                            }
-                            server.crash();
-                            schedule(random_between(500, 5000), [&server] { server.start(); });
-                            return server.id();
-                        }});
-    m_faults.push_back({"replication stopped", false, [this] {
-                            auto& server = random_server();
-                            server.replication_stopped = true;
-                            schedule(random_between(500, 4000), [&server] { server.replication_stopped = false; });
-                            return server.id();
-                        }});
-    m_faults.push_back({"replication lag", false, [this] {
-                            auto& server = random_server();
-                            server.lag = random_between(200, 3000);
-                            schedule(3s, [&server] { server.lag = 20ms; });
-                            return server.id();
-                        }});
-    m_faults.push_back({"server replies dropped", false, [this] {
-                            auto& server = random_server();
-                            server.dropped_replies += static_cast<int>(1 + random_below(4));
-                            return server.id();
-                        }});
-    m_faults.push_back({"server connections reset", false, [this] {
-                            auto& server = random_server();
-                            server.forwarder().reset_connections();
-                            return server.id();
-                        }});
-    m_faults.push_back({"server connections blackholed", false, [this] {
-                            auto& server = random_server();
-                            server.forwarder().blackhole_open_connections();
-                            return server.id();
-                        }});
-    m_faults.push_back(
-        {"server partitioned", false, [this] {
-             auto& server = random_server();
-             std::set<std::string> match_first_bytes;
-             if (random_below(2) == 0) {
-                 match_first_bytes.insert(" " + random_proxy().name() + " ");
-             }
-             server.forwarder().partition_for(random_between(300, 4000), random_below(3) == 0, match_first_bytes);
-             return server.id() + " " + (match_first_bytes.empty() ? "from all" : "from" + *match_first_bytes.begin());
-         }});
-    m_faults.push_back({"server latency", false, [this] {
-                            auto& server = random_server();
-                            server.forwarder().faults.delay = random_between(20, 300);
-                            schedule(2s, [&server] { server.forwarder().faults.delay = 0ms; });
-                            return server.id();
-                        }});
-}
-
-void scenario::list_store_faults() {
-    m_faults.push_back({"configuration change", true, [this] {
-                            m_config_version += 1 + random_below(5);
-                            publish_configuration();
-                            return std::to_string(m_config_version);
-                        }});
-    m_faults.push_back({"store unavailable", false, [this] {
-                            m_store->faults.error_status = random_below(2) == 0 ? 503 : 429;
-                            schedule(random_between(500, 5000), [this] { m_store->faults.error_status = 0; });
-                            return std::string{};
-                        }});
-    m_faults.push_back({"store slow", false, [this] {
-                            m_store->faults.delay = random_between(50, 500);
-                            schedule(3s, [this] { m_store->faults.delay = 0ms; });
-                            return std::string{};
-                        }});
-    m_faults.push_back({"store responses dropped", false, [this] {
-                            m_store->faults.dropped_responses += static_cast<int>(1 + random_below(3));
-                            m_store->faults.delayed_writes += static_cast<int>(random_below(3));
-                            return std::string{};
-                        }});
-    m_faults.push_back({"store change history dropped", false, [this] {
-                            m_store->drop_change_history();
-                            return std::string{};
-                        }});
-    m_faults.push_back({"proxy partitioned from the store", false, [this] {
-                            auto& proxy = random_proxy();
-                            proxy.store_forwarder().partition_for(random_between(500, 5000), random_below(3) == 0, {});
-                            return proxy.name();
-                        }});
-    m_faults.push_back({"store connections blackholed", false, [this] {
-                            for (auto& item : m_proxies) {
-                                item->store_forwarder().blackhole_open_connections();
-                            }
-                            return std::string{};
-                        }});
-}
-
-/// A malformed or unexpected row, as another program might write it into the
-/// table of servers.
-std::string scenario::malformed_row() {
-    static const std::array<std::string, 9> rows{
-        std::string{},
-        std::string{"\xff\xfe\x00{", 4},
-        std::string{"[]"},
-        std::string(3000, '['),
-        std::string{R"({"Service":"stock","Address":"127.0.0.1:9","Zone":"walu","Version":"v1","Slots":-1,)"
-                    R"("State":"ready","WarmupLeftMs":0,"DbRole":"replica","Seq":1})"},
-        std::string{R"({"Service":"stock","Address":"127.0.0.1:9","Zone":"walu","Version":"v1","Slots":2,)"
-                    R"("State":"lost","WarmupLeftMs":0,"DbRole":"primary","Seq":1})"},
-        std::string{R"({"Service":"badges","Address":"127.0.0.1:9","Zone":7,"Version":"v1","Slots":2,)"
-                    R"("State":"ready","WarmupLeftMs":0,"DbRole":"primary","Seq":1})"},
-        std::string{R"({"Service":"nobody","Address":"127.0.0.1:9","Zone":"walu","Version":"v1","Slots":2,)"
-                    R"("State":"ready","WarmupLeftMs":0,"DbRole":"primary","Seq":1})"},
-        std::string{R"({"Service":"stock","Address":"127.0.0.1:9","State":"ready","DbRole":"primary","Seq":1e300})"},
-    };
-    return rows.at(independent_below(rows.size()));
+    }
+    throw std::runtime_error{"unknown server '" + id + "'"};
 }
 
-void scenario::list_independent_faults() {
-    const auto independent_server = [this]() -> emulated_server& {
-        auto& service = *m_services[independent_below(m_services.size())];
-        return *service.servers()[independent_below(service.servers().size())];
-    };
-    m_independent_faults.push_back({"foreign row in the server table", true, [this] {
-                                        const auto key = "stray-" + std::to_string(independent_below(3));
-                                        m_store->put("servers", key, malformed_row());
-                                        schedule(std::chrono::milliseconds{500 + independent_below(2500)},
-                                                 [this, key] { m_store->remove("servers", key); });
-                                        return key;
-                                    }});
-    m_independent_faults.push_back({"server row overwritten", false, [this, independent_server] {
-                                        auto& server = independent_server();
-                                        m_store->put("servers", server.id(), malformed_row());
-                                        schedule(std::chrono::milliseconds{300 + independent_below(2500)},
-                                                 [this, &server] { m_published.erase(server.id()); });
-                                        return server.id();
-                                    }});
-    m_independent_faults.push_back({"server restarted with an empty log", false, [this, independent_server] {
-                                        auto& server = independent_server();
-                                        if (server.draining || !server.running()) {
-                                            return std::string{"-"};
-                                        }
-                                        server.crash_and_lose_log();
-                                        schedule(std::chrono::milliseconds{20 + independent_below(1500)},
-                                                 [&server] { server.start(); });
-                                        return server.id();
-                                    }});
+std::string scenario::names_of_proxies(const std::function<bool()>& selected) const {
+    std::string out;
+    for (const auto& item : m_proxies) {
+        if (selected()) {
+            out += (out.empty() ? "" : " ") + item->name();
+        }
+    }
+    return out;
 }
 
 /// A primary restarts with an empty log shortly before, while or after some,
@@ -436,24 +284,17 @@
 /// service does too.
 asio::awaitable<void> scenario::run_log_loss_phase() {
     const auto draw = [this](std::uint64_t limit) { return m_log_loss_random() % limit; };
-    const auto started_at = boot_clock::now();
     for (int round = 0; round < m_settings.log_loss_rounds; ++round) {
         auto& service = *m_services[draw(m_services.size())];
         const auto killed_of_four = 1 + draw(4);
         const auto kill_delay = std::chrono::milliseconds{draw(900)};
         const auto log_loss_delay = std::chrono::milliseconds{draw(900)};
         record_unplanned_fault();
-        for (auto& item : m_proxies) {
-            if (draw(4) < killed_of_four) {
-                schedule(kill_delay, [&item] { item->signal(SIGKILL); });
-            }
-        }
-        const auto downtime = std::chrono::milliseconds{20 + draw(900)};
-        const auto lose_log = [this, downtime](emulated_server& server) {
-            if (!server.draining && server.running()) {
-                server.crash_and_lose_log();
-                schedule(downtime, [&server] { server.start(); });
-            }
+        const auto killed = names_of_proxies([&] { return draw(4) < killed_of_four; });
+        schedule_fault(kill_delay, "several proxies killed", {killed, {}});
+        const auto downtime = 20 + draw(900);
+        const auto lose_log = [this, downtime](const emulated_server& server) {
+            inject("server restarted with an empty log", {server.id(), {downtime}});
         };
         schedule(log_loss_delay, [&service, lose_log] { lose_log(service.primary()); });
         if (draw(3) == 0) {
@@ -461,14 +302,40 @@
             schedule(log_loss_delay + std::chrono::milliseconds{500 + draw(3000)},
                      [&second, lose_log] { lose_log(second); });
         }
-        std::printf("%6lld ms primary of %s loses its log after %lld ms, down for %lld ms; %llu of 4 proxies killed "
-                    "after %lld ms\n",
-                    to_ms(boot_clock::now() - started_at), service.name().c_str(), to_ms(log_loss_delay),
-                    to_ms(downtime), static_cast<unsigned long long>(killed_of_four), to_ms(kill_delay));
         co_await sleep_for(std::chrono::milliseconds{4000 + draw(3000)});
     }
 }
 
+/// A primary restarts with an empty log while no proxy reaches its replicas and
+/// most proxies have just been killed, so that a proxy that started afterwards
+/// has no other source for the lost log's length. In some rounds the store is
+/// unavailable too, or all proxies are killed.
+asio::awaitable<void> scenario::run_isolation_phase() {
+    const auto draw = [this](std::uint64_t limit) { return m_isolation_random() % limit; };
+    for (int round = 0; round < m_settings.isolation_rounds; ++round) {
+        auto& service = *m_services[draw(m_services.size())];
+        const auto cut_for = 6000 + draw(4000);
+        const auto kill_delay = std::chrono::milliseconds{100 + draw(900)};
+        const auto log_loss_delay = std::chrono::milliseconds{100 + draw(1800)};
+        const auto downtime = 20 + draw(1500);
+        for (const auto& server : service.servers()) {
+            if (server.get() != &service.primary()) {
+                inject("server partitioned", {server->id(), {cut_for, 0}});
+            }
+        }
+        const bool kill_all = draw(2) == 0;
+        schedule_fault(kill_delay, "several proxies killed",
+                       {names_of_proxies([&] { return kill_all || draw(4) != 0; }), {}});
+        schedule(log_loss_delay, [this, &service, downtime] {
+            inject("server restarted with an empty log", {service.primary().id(), {downtime}});
+        });
+        if (draw(3) == 0) {
+            schedule_fault(kill_delay, "store unavailable", {{}, {500 + draw(3000), 503}});
+        }
+        co_await sleep_for(std::chrono::milliseconds{cut_for + 2000 + draw(2000)});
+    }
+}
+
 /// Restores the store from a snapshot. After that the operator's configuration
 /// and the servers' registrations are written again, and rows of servers that
 /// no longer exist are removed.
@@ -496,43 +363,29 @@
     for (int round = 0; round < m_settings.store_restore_rounds; ++round) {
         record_unplanned_fault();
         if (draw(2) == 0) {
-            m_config_version += 1 + draw(5);
-            publish_configuration();
+            inject("configuration change", {{}, {1 + draw(5)}});
         }
         auto& primary = m_services[draw(m_services.size())]->primary();
         const bool crashes = draw(3) != 0 && !primary.draining && primary.running();
-        const auto down = std::chrono::milliseconds{100 + draw(900)};
-        const auto age = std::chrono::milliseconds{500 + draw(8000)};
+        const auto down = 100 + draw(900);
+        const auto age = 500 + draw(8000);
         const bool repeat = draw(3) == 0;
         if (crashes) {
-            schedule(std::chrono::milliseconds{draw(1500)}, [&primary] { primary.crash(); });
-            schedule(std::chrono::milliseconds{2500 + draw(2500)}, [&primary] {
-                if (!primary.running()) {
-                    primary.start();
-                }
-            });
+            const auto crash_delay = draw(1500);
+            const auto restart_delay = 2500 + draw(2500);
+            schedule_fault(std::chrono::milliseconds{crash_delay}, "primary crash",
+                           {primary.id(), {restart_delay - crash_delay}});
         }
-        m_store->faults.error_status = 503;
-        schedule(down, [this, age] {
-            m_store->faults.error_status = 0;
-            restore_store(age);
-        });
+        inject("store unavailable", {{}, {down, 503}});
+        schedule_fault(std::chrono::milliseconds{down}, "store restored from a snapshot", {{}, {age}});
         if (repeat) {
-            schedule(down + std::chrono::milliseconds{200 + draw(1500)}, [this, age] { restore_store(age / 2); });
+            schedule_fault(std::chrono::milliseconds{down + 200 + draw(1500)}, "store restored from a snapshot",
+                           {{}, {age / 2}});
         }
-        std::printf("store unavailable for %lld ms, restored %s from a snapshot %lld ms old; %s\n", to_ms(down),
-                    repeat ? "twice" : "once", to_ms(age), crashes ? primary.id().c_str() : "no crash");
         co_await sleep_for(std::chrono::milliseconds{5500 + draw(2000)});
     }
 }
 
-void scenario::list_faults() {
-    list_independent_faults();
-    list_process_faults();
-    list_server_faults();
-    list_store_faults();
-}
-
 /// The guarantees for planned operations hold only without unplanned faults.
 void scenario::record_unplanned_fault() {
     m_last_unplanned_fault_at = boot_clock::now();
@@ -543,13 +396,39 @@
     }
 }
 
-void scenario::inject(fault& selected, time_point started_at) {
+void scenario::inject(std::string_view kind, const fault_arguments& arguments) {
+    const auto& selected = kind_named(kind);
     if (!selected.planned) {
         record_unplanned_fault();
     }
-    const auto details = selected.inject();
-    std::printf("%6lld ms %.*s %s\n", to_ms(boot_clock::now() - started_at), static_cast<int>(selected.name.size()),
-                selected.name.data(), details.c_str());
+    selected.inject(arguments);
+    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_callers_started_at);
+    const auto line = to_line({at, std::string{kind}, arguments});
+    m_fault_file << line << std::endl;
+    std::printf("%s\n", line.c_str());
+}
+
+/// Draws a fault of one of `kinds`, chosen by `index`, and injects it.
+void scenario::inject_drawn(const std::vector<fault_kind>& kinds, std::uint64_t index, bool planned_only) {
+    const auto& selected = kinds.at(index);
+    if (planned_only && !selected.planned) {
+        return;
+    }
+    if (const auto arguments = selected.draw()) {
+        inject(selected.name, *arguments);
+    }
+}
+
+void scenario::schedule_fault(std::chrono::milliseconds delay, std::string_view kind, fault_arguments arguments) {
+    schedule(delay, [this, kind, arguments = std::move(arguments)] { inject(kind, arguments); });
+}
+
+void scenario::schedule_start(emulated_server& server, std::chrono::milliseconds delay) {
+    schedule(delay, [&server] {
+        if (!server.running()) {
+            server.start();
+        }
+    });
 }
 
 asio::awaitable<void> scenario::run_independent_faults(std::chrono::seconds length, bool planned_only) {
@@ -559,10 +438,7 @@
         if (boot_clock::now() - started_at >= length) {
             co_return;
         }
-        auto& selected = m_independent_faults[independent_below(m_independent_faults.size())];
-        if (!planned_only || selected.planned) {
-            inject(selected, started_at);
-        }
+        inject_drawn(m_independent_faults, independent_below(m_independent_faults.size()), planned_only);
     }
 }
 
@@ -571,9 +447,17 @@
     const auto started_at = boot_clock::now();
     while (boot_clock::now() - started_at < length) {
         co_await sleep_for(random_between(100, 900));
-        auto& selected = m_faults[random_below(m_faults.size())];
-        if (!planned_only || selected.planned) {
-            inject(selected, started_at);
+        inject_drawn(m_faults, random_below(m_faults.size()), planned_only);
+    }
+}
+
+/// Injects the faults of a file, each at its time.
+asio::awaitable<void> scenario::run_replay(std::vector<fault_record> faults) {
+    for (const auto& item : faults) {
+        co_await sleep_for(
+            item.at - std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_callers_started_at));
+        if (item.kind != end_of_faults) {
+            inject(item.kind, item.arguments);
         }
     }
 }
@@ -634,6 +518,7 @@
         asio::co_spawn(m_io, poll_readiness(*item), asio::detached);
     }
     co_await sleep_for(2500ms);
+    m_callers_started_at = boot_clock::now();
     for (std::size_t i = 0; i < m_settings.callers; ++i) {
         m_callers.push_back(std::make_unique<caller>(
             m_checker, m_databases, [this] { return pick_proxy(); },
@@ -641,10 +526,16 @@
             m_random()));
         asio::co_spawn(m_io, m_callers.back()->run(m_stop_callers), asio::detached);
     }
-    co_await run_fault_phase(m_settings.planned, true);
-    co_await run_fault_phase(m_settings.faulty, false);
-    co_await run_log_loss_phase();
-    co_await run_store_restore_phase();
+    if (m_replayed.empty()) {
+        co_await run_fault_phase(m_settings.planned, true);
+        co_await run_fault_phase(m_settings.faulty, false);
+        co_await run_log_loss_phase();
+        co_await run_store_restore_phase();
+        co_await run_isolation_phase();
+    } else {
+        co_await run_replay(m_replayed);
+    }
+    inject(end_of_faults, {});
     co_await recover();
     // Under the callers' load a probe may be refused for lack of a free connection.
     m_stop_callers = true;
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "caller.hpp"
+#include "fault.hpp"
 #include "metadata_store.hpp"
 #include "proxy_process.hpp"
 #include "replicated_service.hpp"
@@ -29,6 +31,10 @@
     int log_loss_rounds{0};
     /// Rounds in which the store is restored from an older snapshot.
     int store_restore_rounds{0};
+    /// Rounds in which a primary loses its log while its replicas are unreachable.
+    int isolation_rounds{0};
+    /// File of faults to inject instead of drawing them.
+    std::filesystem::path replay;
     std::size_t proxies{5};
     std::size_t callers{24};
 };
@@ -46,21 +52,18 @@
     asio::awaitable<std::size_t> run();
 
 private:
-    /// A fault, or a planned operation such as a drain.
-    struct fault {
-        std::string_view name;
-        bool planned{false};
-        /// Returns what it affected, for the log.
-        std::function<std::string()> inject;
-    };
-
     void list_faults();
     void list_process_faults();
     void list_server_faults();
     void list_store_faults();
     void list_independent_faults();
-    [[nodiscard]] std::string malformed_row();
-    void inject(fault& selected, time_point started_at);
+    void list_phase_faults();
+    [[nodiscard]] const fault_kind& kind_named(std::string_view name) const;
+    /// Injects a fault and appends it to the fault file.
+    void inject(std::string_view kind, const fault_arguments& arguments);
+    void inject_drawn(const std::vector<fault_kind>& kinds, std::uint64_t index, bool planned_only);
+    void schedule_fault(std::chrono::milliseconds delay, std::string_view kind, fault_arguments arguments);
+    void schedule_start(emulated_server& server, std::chrono::milliseconds delay);
     asio::awaitable<void> run_independent_faults(std::chrono::seconds length, bool planned_only);
     asio::awaitable<void> supervise_all();
     asio::awaitable<void> poll_readiness(proxy_process& proxy);
@@ -68,6 +71,8 @@
     asio::awaitable<void> run_after(std::chrono::milliseconds delay, std::function<void()> action);
     asio::awaitable<void> run_log_loss_phase();
     asio::awaitable<void> run_store_restore_phase();
+    asio::awaitable<void> run_isolation_phase();
+    asio::awaitable<void> run_replay(std::vector<fault_record> faults);
     void restore_store(std::chrono::milliseconds age);
     asio::awaitable<void> recover();
     asio::awaitable<void> check_recovered();
@@ -78,12 +83,20 @@
     void record_unplanned_fault();
     void check_disconnect(const tcp::endpoint& proxy, const request& issued);
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
-    std::string drain_server(emulated_server& server);
+    void drain_server(emulated_server& server);
+    [[nodiscard]] proxy_process& proxy_named(std::string_view name);
+    /// The server with this id, or its replacement at the same address.
+    [[nodiscard]] emulated_server& server_named(const std::string& id);
+    /// Names of the proxies for which `selected` returns true, separated by spaces.
+    [[nodiscard]] std::string names_of_proxies(const std::function<bool()>& selected) const;
     [[nodiscard]] std::optional<tcp::endpoint> pick_proxy();
     [[nodiscard]] std::string address(unsigned last) const;
     [[nodiscard]] std::uint64_t random_below(std::uint64_t limit) { return m_random() % limit; }
+    [[nodiscard]] std::uint64_t random_ms(std::uint64_t minimum, std::uint64_t maximum) {
+        return minimum + random_below(maximum - minimum);
+    }
     [[nodiscard]] std::chrono::milliseconds random_between(std::uint64_t minimum, std::uint64_t maximum) {
-        return std::chrono::milliseconds{minimum + random_below(maximum - minimum)};
+        return std::chrono::milliseconds{random_ms(minimum, maximum)};
     }
     proxy_process& random_proxy() { return *m_proxies[random_below(m_proxies.size())]; }
     [[nodiscard]] std::uint64_t independent_below(std::uint64_t limit) { return m_independent_random() % limit; }
@@ -102,13 +115,19 @@
     std::vector<std::unique_ptr<proxy_process>> m_proxies;
     std::vector<database> m_databases;
     std::vector<std::unique_ptr<caller>> m_callers;
-    std::vector<fault> m_faults;
+    std::vector<fault_kind> m_faults;
     /// Injected beside the others with a random generator of their own, so that
     /// the sequence of the others for a given seed does not depend on them.
-    std::vector<fault> m_independent_faults;
+    std::vector<fault_kind> m_independent_faults;
+    std::vector<fault_kind> m_phase_faults;
     std::mt19937_64 m_independent_random;
     std::mt19937_64 m_log_loss_random;
     std::mt19937_64 m_store_restore_random;
+    std::mt19937_64 m_isolation_random;
+    std::ofstream m_fault_file;
+    /// The faults of the file that this run replays; empty if it draws its own.
+    std::vector<fault_record> m_replayed;
+    time_point m_callers_started_at{};
     std::map<std::string, std::string> m_published;
     std::map<std::string, time_point> m_down_since;
     std::uint64_t m_config_version{10};
