An empty primary is not used by the passing of time

What callers saw: reads of a whole service lacked commits acknowledged seconds before (strict, bounded and own), from 5 s after its primary had restarted with an empty log until a proxy reached a replica again.

Cause: a proxy that knows no earlier position of a primary waited for the positions of the other registered servers, but for 5 s at most (other_logs_wait). Replicas that hold the commits and cannot be reached for longer (partition, silent connections, pause) then counted no more. A second way in: a position that a replica had reported at any time before counted, so a proxy that saw a new service empty took the primary's later loss for the same state.

Ruled out: that the second look at the positions accepted it (no replica had answered, promotion.step event=none_answered).

Change: a proxy asks the other servers after it found the log empty, and only replies to requests sent since count. No timeout ends the wait; a reply of each server, a deregistration or a promotion by this proxy does. A connection that was open when the log was shown to be whole keeps showing it, because it ends with the server's process.

--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -200,6 +200,7 @@
 
     asio::awaitable<bool> poll_for_leadership(std::string service, std::string id, std::chrono::milliseconds timeout) {
         auto& backends = m_host.pool_for(service);
+        backends.note_promoted(id);
         const auto begun = boot_clock::now();
         while (boot_clock::now() - begun < timeout) {
             co_await backends.probe(id);
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -31,6 +31,8 @@
     /// The account that the connection was opened for. The server attributes all statements on the connection to that
     /// account. Empty if the connection was opened for the proxy itself or for requests without an account.
     std::string account{};
+    /// When the connection had been opened. The server's process has not changed since then.
+    boot_clock::time_point opened_at{};
     /// When the connection last became idle.
     boot_clock::time_point returned_at{};
     /// Session state that is set up on the connection.
@@ -109,9 +111,15 @@
     /// How far the server has applied the log; unused for the primary.
     replica_progress progress;
     leadership_backoff refusal_backoff;
-    /// Since when the server is the primary with an empty log while another registered server, which may hold the
-    /// service's commits, has not replied yet.
+    /// When the request was sent whose reply last reported the server's log position.
+    time_point position_asked_at{};
+    /// When this proxy found the server to be a primary with an empty log that may have held commits before. Reset once
+    /// every other registered server has reported its position since, or once the log has entries.
     std::optional<time_point> empty_log_since;
+    /// When this proxy last knew that the server's empty log has lost no commits. That holds until the process ends.
+    time_point empty_log_proven_at{};
+    /// Whether this proxy promoted the server with an empty log. The promotion rolled back all earlier commits.
+    bool promoted_with_empty_log{false};
     /// The times of the last reply of any kind, the last refused connection and the last timeout.
     time_point last_contact_at{};
     time_point refused_at{};
@@ -125,12 +133,6 @@
     /// When the server was first seen draining (finishing its work before it stops).
     std::optional<time_point> draining_since;
 
-    /// Whether the server is not used as the primary yet because its log is empty and another server, which may hold
-    /// the commits, may still reply.
-    [[nodiscard]] bool awaits_other_logs(time_point now) const {
-        return empty_log_since && now - *empty_log_since < other_logs_wait;
-    }
-
     /// Connections that are open or being opened.
     [[nodiscard]] std::size_t held() const noexcept { return open_connections.size() + opening; }
 
@@ -197,10 +199,6 @@
 
     /// Whether the last attempt to reach the server was refused or timed out.
     [[nodiscard]] bool unreachable() const noexcept { return std::max(refused_at, timed_out_at) > last_contact_at; }
-
-private:
-    /// How long to wait for replies of the other servers; longer than most servers take to restart.
-    static constexpr std::chrono::milliseconds other_logs_wait{5000};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -97,10 +97,11 @@
         }
     }
 
-    /// Records the log position in a reply from a replica.
-    void note_position(entry& from, const std::optional<sql::log_position>& position) {
+    /// Records the log position in a reply from a replica to a request that was sent at `asked_at`.
+    void note_position(entry& from, const std::optional<sql::log_position>& position, time_point asked_at) {
         if (position && from.server.id != m_primary) {
             from.progress.note(*position, boot_clock::now(), m_read_floor);
+            from.position_asked_at = std::max(from.position_asked_at, asked_at);
         }
     }
 
@@ -115,6 +116,14 @@
     /// precedence.
     void accept_peer_confirmation(const std::string& id, time_point leadership_confirmed_at);
 
+    /// Records that this proxy had `id` promoted. If its log was empty then, the promotion has rolled back all commits
+    /// of the service, and the server is used although others may hold them.
+    void note_promoted(const std::string& id);
+
+    /// If the primary cannot be used because its log is empty and a server that may hold the commits does not respond,
+    /// returns the time until that server is contacted again.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> unproven_log_retry_after() const;
+
     /// Records the log position that `id` had reached as the primary according to a peer.
     void note_reported_position(const std::string& id, const sql::log_position& position) {
         m_high_water_mark.note_reported_position(id, position, boot_clock::now());
@@ -258,7 +267,8 @@
     void note_log_lost(entry& at, const sql::log_position& reported);
     void drop_primary(const std::string& id);
     [[nodiscard]] bool lacks_commits(const entry& at, const sql::log_position& reported, time_point asked_at) const;
-    [[nodiscard]] bool needs_other_logs(entry& at, const sql::log_position& reported) const;
+    [[nodiscard]] bool is_log_unproven(const slot& held, const sql::log_position& reported);
+    [[nodiscard]] std::vector<const entry*> unreported_since(const entry& primary, time_point since) const;
     void open_one(entry& at, std::string account = {});
     asio::awaitable<void> open(entry& at, std::string account);
     void check_in(slot& held);
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -22,7 +22,7 @@
         }
         // After a primary has lost its log, the registry may still hold an outdated registration of an earlier primary.
         // In that case the registered role alone does not make a server the primary.
-        const bool unconfirmed = !m_log_lost_server.empty() || at->awaits_other_logs(now);
+        const bool unconfirmed = !m_log_lost_server.empty() || at->empty_log_since;
         if (m_primary.empty() && item->role == server_role::primary && !unconfirmed) {
             m_primary = item->id;
             m_leadership_confirmed_at = time_point{};
@@ -239,6 +239,7 @@
                                                                           const std::string& account) {
     auto& added = *at.open_connections.emplace_back(std::make_unique<slot>());
     added.connection = std::move(connection);
+    added.opened_at = boot_clock::now();
     added.server_entry = &at;
     added.account = account;
     added.busy = true;
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -15,10 +15,12 @@
             note_log_lost(at, *from.position);
             return;
         }
-        if (from.position && needs_other_logs(at, *from.position)) {
+        if (from.position && is_log_unproven(held, *from.position)) {
             held.connection->close();
-            at.open_after = boot_clock::now() + search_period;
-            drop_primary(at.server.id);
+            if (!at.retired) {
+                at.open_after = boot_clock::now() + search_period;
+                drop_primary(at.server.id);
+            }
             return;
         }
         held.primed = true;
@@ -26,7 +28,7 @@
         note_leadership(at, held.sent_at, from.position);
     } else if (!from.ok() && from.why() == sql::refusal::not_primary) {
         note_not_primary(at);
-        note_position(at, from.position);
+        note_position(at, from.position, held.sent_at);
     }
 }
 
@@ -47,24 +49,88 @@
            });
 }
 
-/// Whether a primary with an empty log must wait until the other servers have reported their positions. If this proxy
-/// knows of no commit, it cannot distinguish a new service from one whose primary lost its log.
+/// Whether a primary with an empty log may have lost commits. A proxy that knows of no commit cannot distinguish a new
+/// service from one whose primary lost its log, so every other registered server has to report its position first. A
+/// position that was requested before this proxy found the log empty does not count, because commits may have followed.
+/// No timeout ends the wait: a server that does not respond may hold all commits until it is deregistered.
 template <link_connector Connector>
-bool service_pool<Connector>::needs_other_logs(entry& at, const sql::log_position& reported) const {
-    const bool other_unknown = std::ranges::any_of(m_entries, [&](const auto& item) {
-        return item.second.get() != &at && item.second->progress.seen_at() == time_point{};
-    });
-    if (reported.number != 0 || at.retired || !other_unknown) {
+bool service_pool<Connector>::is_log_unproven(const slot& held, const sql::log_position& reported) {
+    auto& at = *held.server_entry;
+    if (reported.number != 0) {
         at.empty_log_since.reset();
+        at.promoted_with_empty_log = false;
+        return false;
+    }
+    if (at.retired) {
+        return true;
+    }
+    if (held.opened_at <= at.empty_log_proven_at) {
         return false;
     }
     const auto now = boot_clock::now();
+    const auto awaited = unreported_since(at, at.empty_log_since.value_or(now));
+    if (at.promoted_with_empty_log || awaited.empty()) {
+        at.promoted_with_empty_log = false;
+        at.empty_log_since.reset();
+        at.empty_log_proven_at = now;
+        return false;
+    }
     if (!at.empty_log_since) {
         at.empty_log_since = now;
+        std::string ids;
+        for (const auto* item : awaited) {
+            ids += (ids.empty() ? "" : ",") + item->server.id;
+        }
         log_event(event::primary_lost, "service=" + m_service + " server=" + at.server.id +
-                                           " reason=log_unproven position=" + sql::to_string(reported));
+                                           " reason=log_unproven position=" + sql::to_string(reported) +
+                                           " awaits=" + ids);
+    }
+    return true;
+}
+
+/// Returns the servers other than `primary` that have not reported a position in reply to a request sent after `since`.
+template <link_connector Connector>
+auto service_pool<Connector>::unreported_since(const entry& primary, time_point since) const
+    -> std::vector<const entry*> {
+    std::vector<const entry*> out;
+    for (const auto& [id, item] : m_entries) {
+        if (item.get() != &primary && item->position_asked_at <= since) {
+            out.push_back(item.get());
+        }
+    }
+    return out;
+}
+
+template <link_connector Connector>
+void service_pool<Connector>::note_promoted(const std::string& id) {
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        const auto& applied = found->second->progress.applied();
+        found->second->promoted_with_empty_log = applied && applied->number == 0;
+    }
+}
+
+template <link_connector Connector>
+std::optional<std::chrono::milliseconds> service_pool<Connector>::unproven_log_retry_after() const {
+    if (!m_primary.empty()) {
+        return std::nullopt;
+    }
+    const auto unproven =
+        std::ranges::find_if(m_entries, [](const auto& item) { return item.second->empty_log_since.has_value(); });
+    if (unproven == m_entries.end()) {
+        return std::nullopt;
+    }
+    const auto& primary = *unproven->second;
+    std::optional<time_point> next_contact;
+    for (const auto* item : unreported_since(primary, *primary.empty_log_since)) {
+        if (item->unreachable()) {
+            next_contact = std::max(next_contact.value_or(time_point{}), item->open_after);
+        }
+    }
+    if (!next_contact) {
+        return std::nullopt;
     }
-    return at.awaits_other_logs(now);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(*next_contact - boot_clock::now());
+    return std::max(wait, search_period);
 }
 
 /// Disregards the leadership of a server that lost commits, so that a server that has the commits is promoted. New
@@ -138,7 +204,7 @@
         return;
     }
     auto& at = *found->second;
-    if (!at.awaits_other_logs(boot_clock::now()) && at.refusal_backoff.accepts_confirmation(leadership_confirmed_at)) {
+    if (!at.empty_log_since && at.refusal_backoff.accepts_confirmation(leadership_confirmed_at)) {
         adopt_primary(at, leadership_confirmed_at);
     }
 }
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -125,6 +125,8 @@
     auto answer = co_await held->connection->exchange(std::move(batch), reply_index, until);
     if (!answer) {
         note_failure(at, answer.error());
+    } else {
+        note_position(at, answer->position, held->sent_at);
     }
     if (!m_used) {
         // The pool keeps no connections open while there are no requests for the service.
@@ -219,7 +221,7 @@
     auto answer = co_await held.connection->exchange(std::move(batch), 1, held.sent_at + control_limit);
     if (answer) {
         note_reply(*held.server_entry, std::nullopt);
-        note_position(*held.server_entry, answer->position);
+        note_position(*held.server_entry, answer->position, held.sent_at);
     } else {
         note_failure(*held.server_entry, answer.error());
     }
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -79,6 +79,10 @@
         // arrive at a proxy that reaches the primary.
         return refused_for_now("the path to the primary is cut", std::chrono::milliseconds{0});
     }
+    if (const auto wait = pool_request.primary ? backends.unproven_log_retry_after() : std::nullopt) {
+        return refused_for_now("the primary's log is empty and a server that may hold the commits does not respond",
+                               *wait);
+    }
     const auto limits = time_limits_of(run);
     const auto decision = pool_request.primary && !backends.primary_reachable()
                               ? routing::admit_without_primary(limits)
@@ -192,7 +196,7 @@
         co_return reply;
     }
     backends.note_reply(backend, boot_clock::now() - held->sent_at);
-    backends.note_position(backend, reply->position);
+    backends.note_position(backend, reply->position, held->sent_at);
     co_return reply;
 }
 
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -19,7 +19,7 @@
         co_return false;
     }
     backends.note_reply(backend, std::nullopt);
-    backends.note_position(backend, answer->position);
+    backends.note_position(backend, answer->position, held->sent_at);
     co_return answer->ok();
 }
 
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -26,6 +26,16 @@
     return registry_after_restart("p", 2, 1000, routing::server_role::primary);
 }
 
+/// Queries the status of a replica with an empty log and promotes it.
+asio::awaitable<void> promote(proxy_in_memory& proxy, std::string id) {
+    auto& pool = proxy.host.pool_for("stock");
+    (void)co_await pool.query(id, sql::proxy_command(statement_kind::status), 100ms);
+    proxy.server(id).is_primary = true;
+    ++proxy.server(id).position.term;
+    pool.note_promoted(id);
+    co_await pool.probe(id);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(server_restarts)
@@ -97,7 +107,7 @@
     auto& before = *pool.entries().at("r1");
     pool.add_sample({boot_clock::now() - 2s, {1, 8}});
     pool.add_sample({boot_clock::now() - 1s, {1, 10}});
-    pool.note_position(before, sql::log_position{1, 8});
+    pool.note_position(before, sql::log_position{1, 8}, boot_clock::now());
     BOOST_TEST(before.progress.lacks({1, 10}, boot_clock::now() - 1ms, pool.floor()));
     pool.note_failure(before, routing::link_failure::silent);
     BOOST_TEST(before.unreachable());
@@ -210,6 +220,110 @@
     BOOST_TEST(proxy.host.pool_for("stock").primary() == "p");
 }
 
+// Guards against reads of an empty database: a replica that held the commits did not respond to a new proxy, which used
+// the empty primary after a while.
+BOOST_AUTO_TEST_CASE(empty_primary_is_not_used_while_a_registered_server_is_silent) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    proxy.server("r1").position = {1, 0};
+    proxy.server("r2").connect_fails = routing::connect_failure::silent;
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1")}};
+    caller.before[2] = [&] {
+        auto& primary = *proxy.host.pool_for("stock").entries().at("p");
+        BOOST_TEST_REQUIRE(primary.empty_log_since.has_value());
+        *primary.empty_log_since -= 60s;
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 2U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(!caller.answers[1].ok());
+    BOOST_TEST(proxy.server("p").of("a").empty());
+    BOOST_TEST(proxy.server("p").of("b").empty());
+}
+
+// Guards against reads of an empty database: the log of a new service was empty when its servers reported it, and the
+// primary lost the commits that followed.
+BOOST_AUTO_TEST_CASE(earlier_reports_of_empty_logs_do_not_count_after_a_restart) {
+    proxy_in_memory proxy;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        proxy.server(id).position = {1, 0};
+    }
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1")}};
+    caller.before[2] = [&] {
+        for (const auto* id : {"r1", "r2"}) {
+            proxy.server(id).position = {1, 7};
+            proxy.server(id).reset_connections = true;
+            proxy.server(id).connect_fails = routing::connect_failure::silent;
+        }
+        proxy.server("p").reset_connections = true;
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 2U);
+    BOOST_TEST(caller.answers[0].ok());
+    BOOST_TEST(!caller.answers[1].ok());
+    BOOST_TEST(proxy.server("p").of("b").empty());
+}
+
+// Guards against a service that is refused for good because a server that no longer exists cannot report its log.
+BOOST_AUTO_TEST_CASE(empty_primary_is_used_once_the_silent_server_is_deregistered) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    proxy.server("r1").position = {1, 0};
+    proxy.server("r2").connect_fails = routing::connect_failure::silent;
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1")}};
+    caller.before[2] = [&] {
+        auto remaining = initial_registry();
+        remaining.servers.erase("r2");
+        proxy.host.update(std::move(remaining));
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 2U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(caller.answers[1].ok());
+}
+
+// Guards against callers that are held until their deadline while the primary's log is known to be unproven.
+BOOST_AUTO_TEST_CASE(requests_are_refused_at_once_while_the_primary_log_is_unproven) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    proxy.server("r2").position = {1, 0};
+    proxy.server("r1").connect_fails = routing::connect_failure::silent;
+    std::vector<boot_clock::time_point> asked_at;
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1"),
+                                    request("c", statement_kind::write, "1 x")}};
+    for (const std::size_t index : {2U, 3U, 4U}) {
+        caller.before[index] = [&] { asked_at.push_back(boot_clock::now()); };
+    }
+    proxy.play({&caller});
+    asked_at.push_back(boot_clock::now());
+    BOOST_TEST_REQUIRE(caller.answers.size() == 3U);
+    for (const auto& answer : caller.answers) {
+        BOOST_TEST(!answer.ok());
+    }
+    BOOST_TEST(to_ms(asked_at.back() - asked_at.front()) < 100);
+}
+
+// Guards against a service that stays refused after a promotion ended its history: the promoted server's log is empty,
+// and the old primary does not respond.
+BOOST_AUTO_TEST_CASE(promoted_server_with_an_empty_log_is_used) {
+    proxy_in_memory proxy;
+    proxy.server("p").connect_fails = routing::connect_failure::silent;
+    proxy.server("r1").position = {1, 0};
+    proxy.server("r2").position = {1, 0};
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1")}};
+    caller.before[2] = [&] { asio::co_spawn(proxy.io, promote(proxy, "r1"), asio::detached); };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 2U);
+    BOOST_TEST(!caller.answers[0].ok());
+    BOOST_TEST(caller.answers[1].ok());
+    BOOST_TEST(proxy.server("r1").of("b").size() == 1U);
+}
+
 // Guards against the use of a primary that lost its log where no replica answers, by a proxy to which a peer reported
 // the primary's position.
 BOOST_AUTO_TEST_CASE(primary_behind_the_position_reported_by_a_peer_is_not_used) {
