Own front: a primary that restarted without its log is replaced

What callers saw: after the primary's process was killed and started again at once with an empty log, every statement failed ("no such table") or saw an empty database, to the end of the run.

A primary counts as lost when it does not answer, when its replicas do not hear it, or when it leaves. One that comes back under its old role and term before a heartbeat misses it is none of these, and nothing compared positions.

Ruled out as proof: entries of an earlier term at a replica, since a promoted replica may lack them.

Change: status names the term of the last applied entry (position_term; a backend that does not send it gives no proof). A primary that reports a position below one that its term had reached when the request was sent, at itself or at a replica, has lost its log: it is not used any more and is replaced. The finding holds until another term.

--- a/src/cornellever/backend/instance.cpp
+++ b/src/cornellever/backend/instance.cpp
@@ -94,7 +94,9 @@
     Json::Value out;
     out["role"] = std::string{to_string(m_role)};
     out["term"] = static_cast<Json::UInt64>(m_term);
+    const auto* last_applied = m_log.at(m_data.applied_position());
     out["position"] = static_cast<Json::UInt64>(m_data.applied_position());
+    out["position_term"] = static_cast<Json::UInt64>(last_applied == nullptr ? 0 : last_applied->term);
     out["staleness_ms"] = static_cast<Json::Int64>(staleness().count());
     out["heard_ms"] = static_cast<Json::Int64>(m_role == role::primary ? 0 : millis_since(m_primary_contact_at));
     return out;
--- a/src/cornellever/proxy/control.cpp
+++ b/src/cornellever/proxy/control.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-heartbeat heartbeat_from(const std::string& key, const result<Json::Value>& status) {
+heartbeat heartbeat_from(const std::string& key, const result<Json::Value>& status,
+                         std::chrono::steady_clock::time_point asked_at) {
     heartbeat out;
     out.key = key;
+    out.asked_at = asked_at;
     if (!status) {
         out.refused = status.error().code == errc::unavailable;
         return out;
@@ -21,6 +23,7 @@
     out.primary = rpc::text_field(*status, "role") == "primary";
     out.term = rpc::uint_field(*status, "term");
     out.position = rpc::uint_field(*status, "position");
+    out.position_term = rpc::uint_field(*status, "position_term");
     out.staleness_ms = static_cast<std::int64_t>(rpc::uint_field(*status, "staleness_ms"));
     out.primary_contact_age_ms = static_cast<std::int64_t>(rpc::uint_field(*status, "heard_ms"));
     return out;
@@ -99,7 +102,14 @@
 }
 
 void control::record_heartbeat(const heartbeat& report) {
+    const auto* view = m_topology.find(report.key);
+    const bool log_was_lost = view != nullptr && view->log_lost;
     m_topology.record(report, std::chrono::steady_clock::now());
+    if (view != nullptr && view->log_lost && !log_was_lost) {
+        log_event(event::primary_lost, "instance=" + report.key +
+                                           " reason=log_lost term=" + std::to_string(report.term) +
+                                           " position=" + std::to_string(report.position));
+    }
     asio::post(m_traffic_executor, [&target = m_router, report] { target.record(report); });
 }
 
@@ -111,12 +121,13 @@
         if (found == m_probes.end() || found->second.second != generation) {
             co_return;
         }
+        const auto asked_at = std::chrono::steady_clock::now();
         auto status = co_await channel.call("status", Json::Value{Json::objectValue}, m_limits.heartbeat_deadline);
         if (status.has_value() != was_up) {
             log_event(status ? event::instance_up : event::instance_down, "instance=" + key);
             was_up = status.has_value();
         }
-        record_heartbeat(heartbeat_from(key, status));
+        record_heartbeat(heartbeat_from(key, status, asked_at));
         co_await sleep_for(heartbeat_pause(key));
     }
 }
--- a/src/cornellever/proxy/primary_health.cpp
+++ b/src/cornellever/proxy/primary_health.cpp
@@ -43,6 +43,9 @@
         not_leaving += item->leaving_since ? 0 : 1;
     }
     const bool no_replica_in_contact = responsive > 0 && out_of_contact == responsive;
+    if (primary != nullptr && primary->log_lost) {
+        return primary_status::lost;
+    }
     if (primary == nullptr && no_replica_in_contact) {
         return primary_status::lost;
     }
--- a/src/cornellever/proxy/primary_health.hpp
+++ b/src/cornellever/proxy/primary_health.hpp
@@ -12,7 +12,8 @@
     /// A primary responds and is in contact with a replica, or too little is known to decide.
     serving,
     /// No primary responds and no responsive replica is in contact with one; or a primary responds, but none of its
-    /// responsive replicas is in contact with it, and those replicas are a majority of the members.
+    /// responsive replicas is in contact with it, and those replicas are a majority of the members; or a primary
+    /// responds that has lost its log.
     lost,
     /// The primary's VM is leaving (being taken out of service), and a majority of the members can continue
     /// without it.
--- a/src/cornellever/proxy/topology.cpp
+++ b/src/cornellever/proxy/topology.cpp
@@ -28,6 +28,8 @@
                     view.primary = previous->second.primary;
                     view.term = previous->second.term;
                     view.position = previous->second.position;
+                    view.position_term = previous->second.position_term;
+                    view.log_lost = previous->second.log_lost;
                     view.refused = previous->second.refused;
                     view.staleness_ms = previous->second.staleness_ms;
                     view.primary_contact_age_ms = previous->second.primary_contact_age_ms;
@@ -51,14 +53,31 @@
     if (!report.answered) {
         return;
     }
+    const bool same_leadership = view.primary && report.primary && view.term == report.term;
+    view.log_lost = lacks_own_entries(view, report) || (same_leadership && view.log_lost);
     view.primary = report.primary;
     view.term = report.term;
     view.position = report.position;
+    view.position_term = report.position_term;
     view.staleness_ms = report.staleness_ms;
     view.primary_contact_age_ms = report.primary_contact_age_ms;
     view.last_heartbeat_at = now;
 }
 
+/// Whether the instance `before` reports as the primary a position below one that its term had reached when the report
+/// was requested. Only the primary of a term writes entries of that term, and its log never gets shorter.
+bool topology::lacks_own_entries(const instance_view& before, const heartbeat& report) const {
+    if (!report.primary) {
+        return false;
+    }
+    return std::ranges::any_of(m_instances, [&](const auto& item) {
+        const auto& view = item.second;
+        return view.service == before.service && view.database == before.database &&
+               view.position_term == report.term && view.position > report.position &&
+               view.last_heartbeat_at < report.asked_at;
+    });
+}
+
 void topology::set_leaving(const std::set<std::string, std::less<>>& leaving,
                            std::chrono::steady_clock::time_point now) {
     for (auto& [key, view] : m_instances) {
@@ -76,8 +95,8 @@
                                        std::chrono::steady_clock::time_point now) const {
     const instance_view* best = nullptr;
     for (const auto& [key, view] : m_instances) {
-        if (view.service != service || view.database != database || !view.primary || !view.healthy(now) ||
-            !view.accepts_new_work(now)) {
+        if (view.service != service || view.database != database || !view.primary || view.log_lost ||
+            !view.healthy(now) || !view.accepts_new_work(now)) {
             continue;
         }
         if (best == nullptr || view.term > best->term) {
@@ -125,6 +144,7 @@
         item["role"] = view.primary ? "primary" : "replica";
         item["term"] = static_cast<Json::UInt64>(view.term);
         item["position"] = static_cast<Json::UInt64>(view.position);
+        item["log_lost"] = view.log_lost;
         item["leaving"] = view.leaving_since.has_value();
         item["staleness_ms"] = static_cast<Json::Int64>(view.staleness_ms);
     }
--- a/src/cornellever/proxy/topology.hpp
+++ b/src/cornellever/proxy/topology.hpp
@@ -32,11 +32,15 @@
     bool refused{false};
     bool primary{false};
     std::uint64_t term{0};
-    /// The last log position that the instance has applied.
+    /// The last log position that the instance has applied, and the term of the primary that wrote the entry there; 0
+    /// if the log is empty or the instance does not report the term.
     std::uint64_t position{0};
+    std::uint64_t position_term{0};
     std::int64_t staleness_ms{0};
     /// For a replica, the time since its last contact with its primary.
     std::int64_t primary_contact_age_ms{0};
+    /// When the request was sent.
+    std::chrono::steady_clock::time_point asked_at{};
 };
 
 /// The last known state of one backend instance.
@@ -52,6 +56,9 @@
     bool refused{false};
     std::uint64_t term{0};
     std::uint64_t position{0};
+    std::uint64_t position_term{0};
+    /// True if the primary has lost entries that it wrote in its term, because it restarted without its log.
+    bool log_lost{false};
     std::int64_t staleness_ms{0};
     std::int64_t primary_contact_age_ms{0};
     std::chrono::steady_clock::time_point last_heartbeat_at{};
@@ -86,7 +93,8 @@
     /// Marks the instances whose VM (`IP` or `IP:PORT`) is in `leaving`, and unmarks all others.
     void set_leaving(const std::set<std::string, std::less<>>& leaving, std::chrono::steady_clock::time_point now);
 
-    /// Returns the healthy primary of a database with the highest term, or null.
+    /// Returns the healthy primary of a database with the highest term, or null. A primary that has lost its log does
+    /// not count.
     [[nodiscard]] const instance_view* primary(std::string_view service, std::string_view database,
                                                std::chrono::steady_clock::time_point now) const;
 
@@ -111,6 +119,8 @@
     }
 
 private:
+    [[nodiscard]] bool lacks_own_entries(const instance_view& before, const heartbeat& report) const;
+
     std::map<std::string, instance_view, std::less<>> m_instances;
 };
 
--- a/tests/unit/primary_health.cpp
+++ b/tests/unit/primary_health.cpp
@@ -79,3 +79,69 @@
     primary.refused = true;
     BOOST_TEST((assess(primary, responsive(false, 500ms), responsive(false, 500ms)) == primary_status::lost));
 }
+
+namespace {
+
+/// A topology of one database with the instances `a`, `b` and `c`.
+topology three_instances() {
+    config::database db{"orders", {}};
+    for (const auto* name : {"a", "b", "c"}) {
+        db.instances.push_back({.name = name, .zone = "walu", .address = "127.0.0.1:7000"});
+    }
+    config::service service;
+    service.name = "stockbook";
+    service.databases.push_back(db);
+    config::cluster config;
+    config.services.push_back(service);
+    topology out;
+    out.reset(config);
+    return out;
+}
+
+heartbeat response_of(const std::string& name, bool primary, std::uint64_t term, std::uint64_t position,
+                      std::uint64_t position_term, std::chrono::steady_clock::time_point asked_at) {
+    return {.key = "stockbook/orders/" + name,
+            .answered = true,
+            .primary = primary,
+            .term = term,
+            .position = position,
+            .position_term = position_term,
+            .asked_at = asked_at};
+}
+
+primary_status assess(const topology& known, std::chrono::steady_clock::time_point at) {
+    return assess_primary(known.members("stockbook", "orders"), at);
+}
+
+} // namespace
+
+// Guards against reads of an empty database and writes that are lost later: the primary restarted with an empty log
+// before its failure was noticed.
+BOOST_AUTO_TEST_CASE(a_primary_behind_an_earlier_position_of_its_term_has_lost_its_log) {
+    auto known = three_instances();
+    known.record(response_of("b", false, 1, 7, 1, now), now + 1ms);
+    known.record(response_of("c", false, 1, 0, 0, now), now + 1ms);
+    known.record(response_of("a", true, 1, 0, 0, now + 2ms), now + 3ms);
+    BOOST_TEST((assess(known, now + 4ms) == primary_status::lost));
+    BOOST_TEST((known.primary("stockbook", "orders", now + 4ms) == nullptr));
+    // More writes do not bring the lost ones back.
+    known.record(response_of("a", true, 1, 9, 1, now + 5ms), now + 6ms);
+    BOOST_TEST((assess(known, now + 7ms) == primary_status::lost));
+    // Neither does a promotion of another instance make it usable in its old term.
+    known.record(response_of("b", true, 2, 8, 2, now + 8ms), now + 9ms);
+    BOOST_TEST_REQUIRE((known.primary("stockbook", "orders", now + 10ms) != nullptr));
+    BOOST_TEST(known.primary("stockbook", "orders", now + 10ms)->name == "b");
+    BOOST_TEST((assess(known, now + 10ms) == primary_status::serving));
+}
+
+// A promoted replica may lack entries that other members received in the earlier term, and a response that is older
+// than a replica's shows an older position.
+BOOST_AUTO_TEST_CASE(a_primary_behind_other_terms_or_later_responses_has_not_lost_its_log) {
+    auto known = three_instances();
+    known.record(response_of("b", false, 2, 9, 1, now), now + 1ms);
+    known.record(response_of("a", true, 2, 8, 2, now + 2ms), now + 3ms);
+    BOOST_TEST((assess(known, now + 4ms) == primary_status::serving));
+    known.record(response_of("b", false, 2, 12, 2, now + 5ms), now + 8ms);
+    known.record(response_of("a", true, 2, 10, 2, now + 5ms), now + 9ms);
+    BOOST_TEST((assess(known, now + 10ms) == primary_status::serving));
+}
