An empty replica is not promoted by the passing of time

What callers saw: after two of three servers had restarted with empty logs while no proxy reached the third for longer than 5 s, all acknowledged commits of the service were gone.

No check reports this, since a promotion may roll back commits. The unit test an_empty_server_is_not_promoted_while_a_registered_server_is_silent failed before (event chosen, successor empty, judged for 1 h) and passes now.

Change: the promotion waits for as long as the server is registered. One that failed loses its registration (3.6 s in the emulated store, three heartbeats on the platform). The parameter for the time since the verdict goes.

Cost: the service is refused while such a server is registered and out of reach; before, it was served again after 5 s without its data.

--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -144,8 +144,7 @@
 asio::awaitable<void> control<Store, Orders, Connector>::replace(std::string service, std::string old,
                                                                  primary_verdict why) {
     log_event(event::failover_started, "service=" + service + " old=" + old);
-    const auto judged_for = boot_clock::now() - m_services[service].judged_since;
-    const auto ended = co_await m_promotion.run(service, old, why, judged_for);
+    const auto ended = co_await m_promotion.run(service, old, why);
     const bool done = ended.state == "done";
     ++(done ? m_counts.promoted : m_counts.given_up);
     log_event(done ? event::failover_done : event::failover_given_up,
--- a/src/cornellever/cluster/promotion.hpp
+++ b/src/cornellever/cluster/promotion.hpp
@@ -68,11 +68,10 @@
         , m_holder{std::move(holder)}
         , m_claimant{std::move(claimant)} {}
 
-    /// Runs the state chart once to replace `old`, which has been judged lost or leaving for the
-    /// time `judged_for`. `old` is empty if no primary is known.
-    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why,
-                                           boot_clock::time_point::duration judged_for = {}) {
-        attempt current{.service = std::move(service), .old = std::move(old), .why = why, .judged_for = judged_for};
+    /// Runs the state chart once to replace `old`, which has been judged lost or leaving. `old` is
+    /// empty if no primary is known.
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why) {
+        attempt current{.service = std::move(service), .old = std::move(old), .why = why};
         std::string state = m_steps.start();
         std::string event;
         while (!m_steps.action(state).empty()) {
@@ -91,7 +90,6 @@
         std::string service;
         std::string old;
         primary_verdict why{primary_verdict::lost};
-        boot_clock::time_point::duration judged_for{};
         std::string successor{};
         std::uint64_t token{0};
         int orders{0};
@@ -101,9 +99,6 @@
     /// about 1.2 s from the order until the new primary is confirmed.
     static constexpr std::chrono::milliseconds claim_lease{2600};
     static constexpr std::chrono::milliseconds leadership_timeout{1400};
-    /// How long to wait for a server that does not respond but may hold the only log: longer than
-    /// most servers take to restart. Statements of client applications are refused meanwhile.
-    static constexpr std::chrono::milliseconds missing_log_wait{5000};
     /// Allows for a new connection (12 to 30 ms) and a request that the server handles even if all
     /// its statement slots are taken. If the primary does not respond at all, this timeout adds to
     /// the time without writes (1.2 to 2.0 s).
@@ -143,7 +138,7 @@
             const bool any = std::ranges::any_of(reports, &replica_report::answered);
             co_return any ? "all_leave" : "none_answered";
         }
-        if (may_hold_only_log(reports) && current.judged_for < missing_log_wait) {
+        if (may_hold_only_log(reports)) {
             co_return "none_answered";
         }
         current.successor = chosen->id;
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -31,7 +31,8 @@
 
 /// Returns whether a registered server that has not responded may hold the only log, because the
 /// logs of all servers that responded are empty. Promoting one of these would roll back every
-/// commit.
+/// commit. The platform removes the entries of servers that have failed, so a promotion waits for
+/// as long as the server is registered.
 [[nodiscard]] bool may_hold_only_log(std::span<const replica_report> replicas);
 
 /// Returns whether a primary has an empty log while another server's log has entries, which means
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -346,6 +346,39 @@
     BOOST_TEST(!cluster::choose_successor(std::vector{silent}, cluster::primary_verdict::lost));
 }
 
+namespace {
+
+/// The replicas of a service, which report what a test sets.
+struct fixed_replicas {
+    std::vector<cluster::replica_report> reports;
+
+    asio::awaitable<std::vector<cluster::replica_report>> query_replicas(std::string, std::string) {
+        co_return reports;
+    }
+    asio::awaitable<bool> is_primary_now(std::string, std::string, std::chrono::milliseconds) { co_return false; }
+    asio::awaitable<bool> await_leadership(std::string, std::string, std::chrono::milliseconds) { co_return true; }
+};
+
+} // namespace
+
+// Guards against a promotion that rolls back every commit of a service because the only server that holds them could
+// not be reached for a while.
+BOOST_AUTO_TEST_CASE(an_empty_server_is_not_promoted_while_a_registered_server_is_silent) {
+    simulation state;
+    simulated_store store{state};
+    simulated_platform orders{state};
+    fixed_replicas replicas{{{.id = "empty", .received = {2, 0}}, {.id = "silent", .answered = false}}};
+    const auto promotion_chart = steps();
+    cluster::promotion waiting{store, replicas, orders, promotion_chart, "first", "first/1"};
+    std::optional<cluster::promotion_outcome> outcome;
+    asio::co_spawn(state.io, waiting.run("stock", "old", cluster::primary_verdict::lost),
+                   [&](const std::exception_ptr&, cluster::promotion_outcome ended) { outcome = std::move(ended); });
+    state.io.poll();
+    state.io.destroy_suspended_coroutines();
+    BOOST_TEST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->event == "none_answered");
+}
+
 // Guards against accepting an empty server as the primary although another one holds the log.
 BOOST_AUTO_TEST_CASE(a_primary_without_a_log_does_not_end_a_promotion) {
     using cluster::replica_report;
