An unproven log is forgotten when another server becomes the primary

At the next failover, with a server out of reach, callers would have been refused at once with the wrong reason instead of waiting for the new primary. The mark that a promotion left is dropped too once it is used.

The test unproven_log_is_forgotten_when_another_server_becomes_primary failed before (the refusal named the empty log).

--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -65,6 +65,7 @@
         return true;
     }
     if (held.opened_at <= at.empty_log_proven_at) {
+        at.promoted_with_empty_log = false;
         return false;
     }
     const auto now = boot_clock::now();
@@ -222,6 +223,9 @@
         return;
     }
     log_event(event::primary_found, "service=" + m_service + " server=" + id + " before=" + m_primary);
+    for (const auto& [other_id, item] : m_entries) {
+        item->empty_log_since.reset();
+    }
     m_primary = id;
     m_log_lost_server.clear();
     prime_idle(from);
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -324,6 +324,35 @@
     BOOST_TEST(proxy.server("r1").of("b").size() == 1U);
 }
 
+// Guards against refusals during a later failover that name the empty log of a server that is no longer the primary.
+BOOST_AUTO_TEST_CASE(unproven_log_is_forgotten_when_another_server_becomes_primary) {
+    proxy_in_memory proxy;
+    proxy.server("p").position = {1, 0};
+    proxy.server("r1").position = {1, 0};
+    proxy.server("r2").connect_fails = routing::connect_failure::silent;
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("b", statement_kind::read, "1"), request("c", statement_kind::read, "1")}};
+    caller.before[2] = [&] {
+        proxy.server("p").is_primary = false;
+        proxy.server("r1").is_primary = true;
+        proxy.server("r1").position = {2, 3};
+        asio::co_spawn(proxy.io, proxy.host.pool_for("stock").probe("r1"), asio::detached);
+    };
+    caller.before[3] = [&] {
+        auto remaining = initial_registry();
+        remaining.version = 3;
+        remaining.servers.erase("r1");
+        remaining.servers.at("p").role = routing::server_role::replica;
+        proxy.host.update(std::move(remaining));
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 3U);
+    BOOST_TEST(caller.answers[1].ok());
+    BOOST_TEST(!caller.answers[2].ok());
+    BOOST_TEST(caller.answers[0].error_text().find("log is empty") != std::string::npos);
+    BOOST_TEST(caller.answers[2].error_text().find("log is empty") == std::string::npos);
+}
+
 // Guards against the use of a primary that lost its log where no replica answers, by a proxy to which a peer reported
 // the primary's position.
 BOOST_AUTO_TEST_CASE(primary_behind_the_position_reported_by_a_peer_is_not_used) {
