A new connection to an empty primary does not drop it

Change: a reply on an older connection shows that the server's process is still the same, so a new connection waits for one of these to be asked (one round trip) instead of asking the other servers. Each such reply renews the proof. Only when no older connection is left are the servers asked again. A server that refuses to lead, or whose log has entries, needs no proof.

--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -116,7 +116,8 @@
     /// When this proxy found the server to be a primary with an empty log that may have held commits before. Reset once
     /// every other registered server has reported its position since, or once the log has entries.
     std::optional<time_point> empty_log_since;
-    /// When this proxy last knew that the server's empty log has lost no commits. That holds until the process ends.
+    /// When this proxy last knew that the server's empty log has lost no commits; the clock's epoch if never, or if the
+    /// log has entries. A connection that was open then shows the same of its process for as long as it works.
     time_point empty_log_proven_at{};
     /// Whether this proxy promoted the server with an empty log. The promotion rolled back all earlier commits.
     bool promoted_with_empty_log{false};
@@ -133,6 +134,12 @@
     /// When the server was first seen draining (finishing its work before it stops).
     std::optional<time_point> draining_since;
 
+    /// Whether `connection` was opened after the server's empty log was last known to have lost no commits. The server
+    /// may have restarted in between.
+    [[nodiscard]] bool needs_new_proof(const pooled_slot<Link>& connection) const noexcept {
+        return empty_log_proven_at != time_point{} && connection.opened_at > empty_log_proven_at;
+    }
+
     /// Connections that are open or being opened.
     [[nodiscard]] std::size_t held() const noexcept { return open_connections.size() + opening; }
 
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -98,12 +98,7 @@
     }
 
     /// Records the log position in a reply from a replica to a request that was sent at `asked_at`.
-    void note_position(entry& from, const std::optional<sql::log_position>& position, time_point asked_at) {
-        if (position && from.server.id != m_primary) {
-            from.progress.note(*position, boot_clock::now(), m_read_floor);
-            from.position_asked_at = std::max(from.position_asked_at, asked_at);
-        }
-    }
+    void note_position(entry& from, const std::optional<sql::log_position>& position, time_point asked_at);
 
     /// Records a `not_primary` refusal and starts searching for the new primary.
     void note_not_primary(entry& from);
@@ -116,8 +111,7 @@
     /// precedence.
     void accept_peer_confirmation(const std::string& id, time_point leadership_confirmed_at);
 
-    /// Records that this proxy had `id` promoted. If its log was empty then, the promotion has rolled back all commits
-    /// of the service, and the server is used although others may hold them.
+    /// Records that this proxy had `id` promoted. If its log was empty then, the promotion rolled back all commits.
     void note_promoted(const std::string& id);
 
     /// If the primary cannot be used because its log is empty and a server that may hold the commits does not respond,
@@ -266,9 +260,11 @@
     void adopt_primary(entry& from, time_point leadership_confirmed_at);
     void note_log_lost(entry& at, const sql::log_position& reported);
     void drop_primary(const std::string& id);
+    static void forget_empty_log(entry& at);
     [[nodiscard]] bool lacks_commits(const entry& at, const sql::log_position& reported, time_point asked_at) const;
     [[nodiscard]] bool is_log_unproven(const slot& held, const sql::log_position& reported);
     [[nodiscard]] std::vector<const entry*> unreported_since(const entry& primary, time_point since) const;
+    asio::awaitable<void> renew_empty_log_proof(const slot& held, time_point until);
     void open_one(entry& at, std::string account = {});
     asio::awaitable<void> open(entry& at, std::string account);
     void check_in(slot& held);
@@ -293,6 +289,8 @@
     /// the freshness bound of reads may be 1.5 s and a failed primary has to be detected.
     static constexpr std::chrono::milliseconds refresh_after{200};
     static constexpr std::chrono::milliseconds search_period{40};
+    /// How often a new connection checks whether an older one to the same server is free or has received a reply.
+    static constexpr std::chrono::milliseconds proof_poll_period{5};
     /// Maximum number of account connections that are being opened to one server concurrently. Each opening takes one
     /// of the server's execution slots for as long as a short statement.
     static constexpr std::size_t max_openings = 2;
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -57,14 +57,14 @@
 bool service_pool<Connector>::is_log_unproven(const slot& held, const sql::log_position& reported) {
     auto& at = *held.server_entry;
     if (reported.number != 0) {
-        at.empty_log_since.reset();
-        at.promoted_with_empty_log = false;
+        forget_empty_log(at);
         return false;
     }
     if (at.retired) {
         return true;
     }
     if (held.opened_at <= at.empty_log_proven_at) {
+        at.empty_log_proven_at = std::max(at.empty_log_proven_at, held.sent_at);
         at.promoted_with_empty_log = false;
         return false;
     }
@@ -89,6 +89,39 @@
     return true;
 }
 
+/// Discards what is known about a server's empty log, because the log has entries or the server is not the primary.
+template <link_connector Connector>
+void service_pool<Connector>::forget_empty_log(entry& at) {
+    at.empty_log_since.reset();
+    at.empty_log_proven_at = time_point{};
+    at.promoted_with_empty_log = false;
+}
+
+/// Waits until the server's empty log is known to have lost no commits since `held` was opened, which a reply on an
+/// older connection shows. Gives up if there is no older connection, after which the other servers are asked again.
+template <link_connector Connector>
+asio::awaitable<void> service_pool<Connector>::renew_empty_log_proof(const slot& held, time_point until) {
+    auto& at = *held.server_entry;
+    while (at.needs_new_proof(held) && boot_clock::now() < until) {
+        slot* idle = nullptr;
+        bool any = false;
+        for (const auto& item : at.open_connections) {
+            const bool older = item->connection->usable() && !at.needs_new_proof(*item);
+            any = any || older;
+            idle = older && !item->busy ? item.get() : idle;
+        }
+        if (!any) {
+            co_return;
+        }
+        if (idle == nullptr) {
+            co_await sleep_for(proof_poll_period);
+            continue;
+        }
+        idle->busy = true;
+        co_await refresh_leadership(*idle);
+    }
+}
+
 /// Returns the servers other than `primary` that have not reported a position in reply to a request sent after `since`.
 template <link_connector Connector>
 auto service_pool<Connector>::unreported_since(const entry& primary, time_point since) const
@@ -151,6 +184,15 @@
     drop_primary(at.server.id);
 }
 
+template <link_connector Connector>
+void service_pool<Connector>::note_position(entry& from, const std::optional<sql::log_position>& position,
+                                            time_point asked_at) {
+    if (position && from.server.id != m_primary) {
+        from.progress.note(*position, boot_clock::now(), m_read_floor);
+        from.position_asked_at = std::max(from.position_asked_at, asked_at);
+    }
+}
+
 template <link_connector Connector>
 void service_pool<Connector>::drop_primary(const std::string& id) {
     if (m_primary == id) {
@@ -161,6 +203,7 @@
 
 template <link_connector Connector>
 void service_pool<Connector>::note_not_primary(entry& from) {
+    forget_empty_log(from);
     if (m_primary == from.server.id) {
         from.refusal_backoff.note_refusal(boot_clock::now());
         log_event(event::primary_lost, "service=" + m_service + " server=" + m_primary + " reason=refused_lead");
@@ -224,7 +267,9 @@
     }
     log_event(event::primary_found, "service=" + m_service + " server=" + id + " before=" + m_primary);
     for (const auto& [other_id, item] : m_entries) {
-        item->empty_log_since.reset();
+        if (item.get() != &from) {
+            forget_empty_log(*item);
+        }
     }
     m_primary = id;
     m_log_lost_server.clear();
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -6,6 +6,9 @@
 
 template <link_connector Connector>
 asio::awaitable<bool> service_pool<Connector>::confirm_leadership(slot& held, time_point until) {
+    if (held.server_entry->needs_new_proof(held)) {
+        co_await renew_empty_log_proof(held, until);
+    }
     std::vector<sql::command> batch;
     if (std::exchange(held.primed, false)) {
         batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -266,6 +266,39 @@
     BOOST_TEST(proxy.server("p").of("b").empty());
 }
 
+// Guards against a primary that is dropped whenever a connection is opened while the log of a new service is empty.
+BOOST_AUTO_TEST_CASE(new_connection_to_an_empty_primary_does_not_drop_it) {
+    proxy_in_memory proxy;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        proxy.server(id).position = {1, 0};
+    }
+    caller_script first{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+    proxy.play({&first});
+    BOOST_TEST_REQUIRE(first.answers.size() == 1U);
+    BOOST_TEST(first.answers[0].ok());
+    auto& pool = proxy.host.pool_for("stock");
+    pool.set_budget(6, 1);
+    const auto opened_before = proxy.server("p").connections;
+    const auto& at = *pool.entries().at("p");
+    std::vector<routing::pooled_slot<fake_link>*> older;
+    for (const auto& item : at.open_connections) {
+        item->busy = true;
+        older.push_back(item.get());
+    }
+    proxy.later(20ms, [&] {
+        for (auto* item : older) {
+            item->busy = false;
+        }
+    });
+    int dropped = 0;
+    caller_script second{.events = {opening("strict"), request("b", statement_kind::read, "1")}};
+    proxy.play_together({&second}, [&] { dropped += pool.primary().empty() ? 1 : 0; });
+    BOOST_TEST(proxy.server("p").connections > opened_before);
+    BOOST_TEST(dropped == 0);
+    BOOST_TEST_REQUIRE(second.answers.size() == 1U);
+    BOOST_TEST(second.answers[0].ok());
+}
+
 // Guards against a service that is refused for good because a server that no longer exists cannot report its log.
 BOOST_AUTO_TEST_CASE(empty_primary_is_used_once_the_silent_server_is_deregistered) {
     proxy_in_memory proxy;
