Proxies that start together all register: longer pauses, time for queued writes

Cause: the store executes 250 writes a second in a partition and lets 1 s of them wait. A proxy gave its registration up after 0.7 s and tried again every 0.4 s, so above some 175 proxies that start together the queue stayed full and each answer came too late.

Change: registration is a type of its own.

Ruled out: the rate of all writes (3,200 a second) and losses of answers; the write, not the reading of the table, failed (no first reading was counted).

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -24,6 +24,7 @@
 #include "cornellever/cluster/primary_judge.hpp"
 #include "cornellever/cluster/promotion.hpp"
 #include "cornellever/cluster/registry_cache.hpp"
+#include "cornellever/cluster/registration.hpp"
 #include "cornellever/cluster/snapshot.hpp"
 #include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/cluster/table_freshness.hpp"
@@ -252,6 +253,10 @@
     static constexpr std::size_t max_message_bytes = 8192;
 
     asio::any_io_executor m_executor;
+    static constexpr std::chrono::milliseconds initial_registration_pause{400};
+    /// With at most this pause, 3,500 proxies that register together make four times as many
+    /// attempts a second as the store accepts (250).
+    static constexpr std::chrono::milliseconds max_registration_pause{6400};
     control_settings m_settings;
     Store& m_store;
     bridge& m_bridge;
--- a/src/cornellever/cluster/control_joining.ipp
+++ b/src/cornellever/cluster/control_joining.ipp
@@ -8,36 +8,14 @@
 /// Registers this proxy in the store and discovers the proxies registered before.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::register_self() {
-    constexpr std::chrono::milliseconds pause{400};
-    const std::string table{proxies_table};
-    const auto address = own_row();
-    bool registered = false;
-    // A proxy that reads the table after this proxy's row was written finds this proxy. This proxy
-    // reads the table after writing its row and so finds every proxy whose row was written earlier.
-    // Hence no two proxies miss each other. After a restart the row exists already and is not
-    // written again: 195 rows written at the same time would take the store 0.8 s at 250 writes a
-    // second.
-    bool in_table = !m_settings.first_start;
-    bool added = false;
-    while (!registered) {
-        if (!in_table) {
-            const auto written = co_await m_store.write(table, m_settings.name, address);
-            in_table = written.has_value();
-            added = added || in_table;
-        }
-        if (in_table) {
-            auto rows = co_await m_store.list(table);
-            if (rows) {
-                registered = std::ranges::any_of(rows->rows, [&](const store_row& row) {
-                    return row.key == m_settings.name && row.value == address;
-                });
-                co_await load_proxies(std::move(*rows));
-                in_table = registered;
-                continue;
-            }
-        }
-        co_await sleep_for(pause);
-    }
+    registration own{m_store,
+                     std::string{proxies_table},
+                     {m_settings.name, own_row()},
+                     backoff{initial_registration_pause, max_registration_pause, std::random_device{}()}};
+    // After a restart the row exists already and is not written again: 195 rows written at the same
+    // time would take the store 0.8 s at 250 writes a second.
+    const bool added =
+        co_await own.run(!m_settings.first_start, [this](store_rows rows) { return load_proxies(std::move(rows)); });
     m_peers_loaded = true;
     publish_proxies();
     if (added) {
--- a/src/cornellever/core/backoff.hpp
+++ b/src/cornellever/core/backoff.hpp
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <random>
 
-namespace cornellever::proxy {
+namespace cornellever {
 
 /// Exponential backoff with jitter: the full pause doubles after each attempt, up to a maximum. Each pause is drawn at
 /// random between half the full pause and the full pause, so that proxies whose attempts failed at the same time do not
@@ -36,4 +36,4 @@
     std::mt19937_64 m_random;
 };
 
-} // namespace cornellever::proxy
+} // namespace cornellever
--- a/src/cornellever/proxy/primary_monitor.hpp
+++ b/src/cornellever/proxy/primary_monitor.hpp
@@ -9,9 +9,9 @@
 
 #include "cornellever/config/model.hpp"
 #include "cornellever/core/asio.hpp"
+#include "cornellever/core/backoff.hpp"
 #include "cornellever/core/state_chart.hpp"
 #include "cornellever/proxy/backend_group.hpp"
-#include "cornellever/proxy/backoff.hpp"
 #include "cornellever/proxy/failover.hpp"
 #include "cornellever/proxy/platform_store.hpp"
 #include "cornellever/proxy/primary_health.hpp"
--- a/tests/unit/backoff.cpp
+++ b/tests/unit/backoff.cpp
@@ -1,8 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
-#include "cornellever/proxy/backoff.hpp"
+#include "cornellever/core/backoff.hpp"
 
-using namespace cornellever::proxy;
+using namespace cornellever;
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_CASE(pauses_double_up_to_the_maximum_until_reset) {
