A bounded number of proxies asks the store when peers have nothing newer

A store that forgets its history and answers from an old copy was read whole again without any pause, since each reading was followed by the news that its history was gone.

A proxy that hears from no peer asks at once, as before: only the store may reach it. Whole readings that follow one another pause, twice as long each time.

Tests: the old copy is read at most seven times in 1.5 s; the number that may ask; a proxy cut off from its peers is told apart.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -232,6 +232,12 @@
     /// Timeout for the start of a peer's reply to a snapshot request, and between two parts of the
     /// reply.
     static constexpr std::chrono::milliseconds catch_up_timeout{500};
+    /// How many proxies, for each one that polls a table, query the store first if the peers do not
+    /// keep their copies current. Enough that one of a small part of the cluster is among them.
+    static constexpr std::size_t overdue_readers_per_poller = 8;
+    /// How long the proxies that query the store first because they are behind have before twice as
+    /// many do. An answer with the configuration takes less.
+    static constexpr std::chrono::milliseconds behind_step{500};
     /// Maximum number of peers to which this proxy sends the configuration concurrently. The link of
     /// a small VM can transfer only a few copies of the configuration within a heartbeat period. The
     /// peers that received a copy pass it on, so that the remaining ones get it sooner than if all
--- a/src/cornellever/cluster/control_tables.ipp
+++ b/src/cornellever/cluster/control_tables.ipp
@@ -36,13 +36,19 @@
                                                      std::ranges::any_of(others, [&](const std::string& name) {
                                                          return m_members.peers().find(name)->second.store_reachable;
                                                      }));
+    const auto rank = watch_rank(names.at(index_of(what)), m_settings.name, others);
     watch_mode out{.polls_store = false, .confirm_within = policy.max_confirmation_age};
     if (!relies_on_peers) {
-        out = watch_mode_for(policy, watch_rank(names.at(index_of(what)), m_settings.name, others),
-                             m_members.proxy_count());
+        out = watch_mode_for(policy, rank, m_members.proxy_count());
     }
     out.confirmed_current_at = freshness.confirmed_current_at();
-    out.behind = freshness.behind(version_of(what), now);
+    const auto first_readers = overdue_readers_per_poller * policy.max_readers;
+    out.behind = rank < max_overdue_readers(first_readers, freshness.behind_for(version_of(what), now), behind_step);
+    const auto unconfirmed_for =
+        std::chrono::floor<std::chrono::milliseconds>(now - out.confirmed_current_at) - policy.max_confirmation_age;
+    out.queries_if_unconfirmed =
+        !freshness.hears_from_peers(now) ||
+        rank < max_overdue_readers(first_readers, unconfirmed_for, policy.max_confirmation_age);
     return out;
 }
 
--- a/src/cornellever/cluster/store_watch.hpp
+++ b/src/cornellever/cluster/store_watch.hpp
@@ -25,6 +25,9 @@
     boot_clock::time_point confirmed_current_at{};
     /// Whether a peer holds a newer version than this proxy.
     bool behind{false};
+    /// Whether this proxy queries the store if the confirmation is too old. False while all peers
+    /// lack a recent confirmation too and it is up to other proxies to query the store.
+    bool queries_if_unconfirmed{true};
 };
 
 /// How the proxies divide the polling of a table among themselves. Every store call costs money and
@@ -60,6 +63,16 @@
     }));
 }
 
+/// Returns how many proxies may query the store `overdue` after their copies should have become
+/// current through peers, `first` at the beginning and twice as many after each `step`. All lack the
+/// same change or confirmation, and one that gets it passes it on to the others. If all of them
+/// queried the store at the same time, the calls would grow with the cluster.
+[[nodiscard]] constexpr std::size_t max_overdue_readers(std::size_t first, std::chrono::milliseconds overdue,
+                                                        std::chrono::milliseconds step) {
+    constexpr std::chrono::milliseconds::rep max_doublings = 16;
+    return overdue.count() < 0 ? 0 : first << std::min(overdue / step, max_doublings);
+}
+
 /// Returns the watch mode of the proxy with this rank in a cluster of `proxies` proxies.
 [[nodiscard]] constexpr watch_mode watch_mode_for(const watch_policy& policy, std::size_t rank, std::size_t proxies) {
     if (rank == 0) {
--- a/src/cornellever/cluster/table_follower.hpp
+++ b/src/cornellever/cluster/table_follower.hpp
@@ -52,9 +52,13 @@
             // noticed immediately.
             const auto mode = m_mode();
             const auto wait = m_failures > 0 || !mode.polls_store ? std::chrono::milliseconds{0} : mode.confirm_within;
+            const bool whole_table = !m_loaded;
             auto got = co_await query(wait);
             if (got) {
                 record_success();
+                if (!whole_table) {
+                    m_reread_pause = std::chrono::milliseconds{0};
+                }
                 const bool changes = !got->rows.empty();
                 apply(std::move(*got));
                 mark_current(changes ? std::chrono::milliseconds{0} : wait);
@@ -64,6 +68,7 @@
                 log_event(event::store_regained,
                           "table=" + m_table + " reason=history_gone version=" + std::to_string(m_version));
                 m_loaded = false;
+                co_await pause_before_rereading();
                 continue;
             }
             record_failure(got.error(), m_mode());
@@ -91,6 +96,9 @@
     /// counts as a call.
     static constexpr std::chrono::milliseconds unreachable_retry_interval{5000};
 
+    static constexpr std::chrono::milliseconds min_reread_pause{100};
+    static constexpr std::chrono::milliseconds max_reread_pause{3000};
+
     /// Upper limit of the random delay that spreads the queries of all proxies to a store that has
     /// just recovered.
     static constexpr std::chrono::milliseconds recovery_spread{500};
@@ -102,6 +110,16 @@
         }
     }
 
+    /// Waits before the whole table is read again. The first time there is no wait. If the history
+    /// does not reach back to the version of the table just read, the store answers readings from an
+    /// old copy, and reading again at once would only repeat that.
+    asio::awaitable<void> pause_before_rereading() {
+        if (m_reread_pause.count() > 0) {
+            co_await sleep_for(random_between(m_reread_pause / 2, m_reread_pause));
+        }
+        m_reread_pause = std::clamp(2 * m_reread_pause, min_reread_pause, max_reread_pause);
+    }
+
     /// Returns whether this proxy has a copy of the table, from the store or from a peer.
     [[nodiscard]] bool has_copy(const watch_mode& mode) const {
         return m_loaded || mode.confirmed_current_at != boot_clock::time_point{};
@@ -116,7 +134,10 @@
         if (m_failures > 0) {
             return now < m_retry_at && !(current && !m_was_current);
         }
-        return current && !(mode.behind && now - m_queried_at >= min_query_interval);
+        if (mode.behind && now - m_queried_at >= min_query_interval) {
+            return false;
+        }
+        return current || !mode.queries_if_unconfirmed;
     }
 
     asio::awaitable<result<store_rows>> query(std::chrono::milliseconds wait) {
@@ -228,6 +249,7 @@
     /// Whether the copy was still current when the last query failed, and when a proxy that relies
     /// on its peers queries the store again.
     bool m_was_current{false};
+    std::chrono::milliseconds m_reread_pause{0};
     boot_clock::time_point m_retry_at{};
     std::minstd_rand m_random{std::random_device{}()};
 };
--- a/src/cornellever/cluster/table_freshness.hpp
+++ b/src/cornellever/cluster/table_freshness.hpp
@@ -29,6 +29,7 @@
             m_newest_at_peers = peer_version;
             m_newest_seen_at = now;
         }
+        m_peer_answer_at = std::max(m_peer_answer_at, now);
         if (peer_version == own_version) {
             mark_current(at);
         }
@@ -50,7 +51,22 @@
     /// Returns whether a peer has had a newer version for so long that this proxy should have
     /// received it.
     [[nodiscard]] bool behind(std::uint64_t own_version, time_point now) const noexcept {
-        return m_newest_at_peers > own_version && now - m_newest_seen_at >= propagation_time;
+        return behind_for(own_version, now) >= std::chrono::milliseconds{0};
+    }
+
+    /// Returns for how long this proxy should have received the newest version of its peers; negative
+    /// if it still has time or is not behind.
+    [[nodiscard]] std::chrono::milliseconds behind_for(std::uint64_t own_version, time_point now) const noexcept {
+        if (m_newest_at_peers <= own_version) {
+            return std::chrono::milliseconds{-1};
+        }
+        return std::chrono::floor<std::chrono::milliseconds>(now - m_newest_seen_at) - propagation_time;
+    }
+
+    /// Returns whether a peer stated the freshness of its copy recently. A proxy that hears from its
+    /// peers and still gets no confirmation is not cut off from them: they have none either.
+    [[nodiscard]] bool hears_from_peers(time_point now) const noexcept {
+        return m_peer_answer_at != time_point{} && now - m_peer_answer_at < recent_answer;
     }
 
 private:
@@ -59,10 +75,14 @@
     /// a busy VM.
     static constexpr std::chrono::milliseconds propagation_time{1800};
 
+    /// Two heartbeat periods, so that one answer may be lost.
+    static constexpr std::chrono::milliseconds recent_answer{1000};
+
     time_point m_current_at{};
     std::uint64_t m_newest_at_peers{0};
     std::uint64_t m_store_version{0};
     time_point m_newest_seen_at{};
+    time_point m_peer_answer_at{};
 };
 
 } // namespace cornellever::cluster
--- a/tests/unit/store_watch.cpp
+++ b/tests/unit/store_watch.cpp
@@ -16,6 +16,8 @@
 /// A store with one row. It can be down, and it records when it was queried.
 struct fake_store {
     bool down{false};
+    /// Whether the change history does not reach back to any version.
+    bool history_gone{false};
     std::uint64_t version{5};
     std::vector<boot_clock::time_point> query_times;
 
@@ -23,6 +25,9 @@
     asio::awaitable<result<cluster::store_rows>> changes(std::string, std::uint64_t after,
                                                          std::chrono::milliseconds wait) {
         auto out = co_await answer();
+        if (history_gone) {
+            co_return fail(errc::behind, "history gone");
+        }
         if (out && out->version <= after) {
             out->rows.clear();
             co_await sleep_for(wait);
@@ -154,6 +159,54 @@
     BOOST_TEST(table.follower.reachable());
 }
 
+// Guards against reading a table without a pause: for seconds after the history was discarded, the
+// store answered readings from a copy that was older than the history, and each polling proxy read
+// thousands of rows a hundred times a second.
+BOOST_AUTO_TEST_CASE(an_old_copy_at_the_store_is_not_read_again_and_again) {
+    follower_fixture table;
+    table.mode = {.polls_store = true, .confirm_within = 100ms};
+    table.store.history_gone = true;
+    table.run_for_span(1500ms);
+    // One reading and one question for changes each at 0, 0, 0.1, 0.3, 0.7 and 1.5 s at the latest.
+    BOOST_TEST(table.store.query_times.size() <= 14U);
+    table.store.history_gone = false;
+    table.store.version = 6;
+    table.run_for_span(2000ms);
+    BOOST_TEST(table.versions.back() == 6U);
+}
+
+// Guards against calls that grow with the cluster: while no proxy could confirm the configuration,
+// each of hundreds queried the store every 3 s, and so did each that lacked a new version for 1.8 s.
+BOOST_AUTO_TEST_CASE(a_bounded_number_of_proxies_queries_the_store_when_peers_have_no_confirmation) {
+    using cluster::max_overdue_readers;
+    BOOST_TEST(max_overdue_readers(32, -1ms, 500ms) == 0U);
+    BOOST_TEST(max_overdue_readers(32, 0ms, 500ms) == 32U);
+    BOOST_TEST(max_overdue_readers(32, 1100ms, 500ms) == 128U);
+    BOOST_TEST(max_overdue_readers(32, 24h, 500ms) > 3500U);
+    follower_fixture table;
+    table.mode.queries_if_unconfirmed = false;
+    table.run_for_span(1000ms);
+    BOOST_TEST(table.store.query_times.size() == 1U);
+    table.mode.queries_if_unconfirmed = true;
+    table.run_for_span(200ms);
+    BOOST_TEST(table.store.query_times.size() == 2U);
+}
+
+// Guards against missing a configuration change on a proxy that only the store still reaches: such a
+// proxy must not wait until others have queried the store.
+BOOST_AUTO_TEST_CASE(a_proxy_cut_off_from_its_peers_hears_no_answers) {
+    cluster::table_freshness freshness;
+    const boot_clock::time_point at{1h};
+    BOOST_TEST(!freshness.hears_from_peers(at));
+    freshness.note_peer_version(6, 6, at - 5s, at);
+    BOOST_TEST(freshness.hears_from_peers(at + 900ms));
+    BOOST_TEST(!freshness.hears_from_peers(at + 1100ms));
+    freshness.note_peer_version(7, 6, at, at);
+    BOOST_TEST((freshness.behind_for(6, at) < 0ms));
+    BOOST_TEST((freshness.behind_for(6, at + 2s) == 200ms));
+    BOOST_TEST((freshness.behind_for(7, at + 2s) < 0ms));
+}
+
 // A long poll confirms the copy up to the end of its wait, but never for a time after it was
 // answered.
 BOOST_AUTO_TEST_CASE(a_long_poll_confirms_the_copy_up_to_its_end) {
