A proxy judges the primaries that it uses, and others only when the registry calls for it

A proxy that does not use a service knows only the registry entries of its servers, so while these are in order its verdict is always the same.

Change: judged are the services that this proxy uses and, if it owns their connections, those with a missing or draining server or without a registered primary. Since when a service is leaderless is kept with the registry, so that a proxy that begins to judge does not take the moment between two primaries for a long one. Owners that stand by follow one another by rank. Owners are ranked once for each list of proxies, not at each heartbeat, by one type for both threads.

Found beside it: a server whose entry was missing for longer than the grace period was reported as new at every tick, so that all servers were copied to the traffic thread ten times a second for ever.

Tests: of 300 services the one in use and three unsettled ones are judged; leaderless since the change of the registry; a server that is gone is reported once.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -17,14 +17,15 @@
 #include <vector>
 
 #include "cornellever/cluster/control_settings.hpp"
+#include "cornellever/cluster/judged_services.hpp"
 #include "cornellever/cluster/membership.hpp"
 #include "cornellever/cluster/metadata_store.hpp"
 #include "cornellever/cluster/peer_message.hpp"
 #include "cornellever/cluster/peer_traffic.hpp"
 #include "cornellever/cluster/primary_judge.hpp"
 #include "cornellever/cluster/promotion.hpp"
-#include "cornellever/cluster/registry_cache.hpp"
 #include "cornellever/cluster/registration.hpp"
+#include "cornellever/cluster/registry_cache.hpp"
 #include "cornellever/cluster/snapshot.hpp"
 #include "cornellever/cluster/store_watch.hpp"
 #include "cornellever/cluster/table_freshness.hpp"
@@ -35,6 +36,7 @@
 #include "cornellever/rpc/channel.hpp"
 #include "cornellever/rpc/fields.hpp"
 #include "cornellever/rpc/server.hpp"
+#include "cornellever/session/ownership_cache.hpp"
 
 namespace cornellever::cluster {
 
@@ -120,6 +122,7 @@
     /// What this proxy last concluded about a service's primary.
     struct service_state {
         std::string primary;
+        /// When this proxy last observed a primary or tried to replace it.
         time_point leaderless_since{};
         time_point judged_since{};
         primary_verdict verdict{primary_verdict::fine};
@@ -169,12 +172,15 @@
     static void log_members(event what, const std::vector<std::string>& names, std::string_view suffix);
     void send_greetings();
     [[nodiscard]] std::vector<asio::ip::udp::endpoint> all_peers() const;
-    [[nodiscard]] std::set<std::string, std::less<>>
-    owners_of(const std::set<std::string, std::less<>>& services) const;
+    [[nodiscard]] const session::connection_ownership& ownership_of(const std::string& service) {
+        return m_ownership.find(service, m_config, m_published_proxies);
+    }
+    [[nodiscard]] std::set<std::string, std::less<>> owners_of(const std::set<std::string, std::less<>>& services);
     void send_questions(const heartbeat_targets& peers);
     void send(const peer_message& message, std::span<const asio::ip::udp::endpoint> to);
     [[nodiscard]] peer_message build_message(peer_message::kind what) const;
     void check_primaries();
+    void update_registered_primary(std::span<const routing::backend_server* const> servers, service_state& state) const;
     void check_primary(const std::string& service, std::span<const routing::backend_server* const> servers,
                        service_state& state, std::span<const peer_report> peer_reports);
     /// Returns the reports of the peers that are alive, by service. The result is valid until the
@@ -186,7 +192,7 @@
     [[nodiscard]] primary_verdict verdict_for(const service_state& state, const service_observation* own_observation,
                                               std::span<const peer_report> peer_reports,
                                               std::vector<primary_view>& views) const;
-    [[nodiscard]] std::chrono::milliseconds promotion_delay(const std::string& service) const;
+    [[nodiscard]] std::chrono::milliseconds promotion_delay(const std::string& service);
     [[nodiscard]] bool any_primary_suspect() const;
     void publish_proxies();
     void publish_confirmation();
@@ -226,18 +232,18 @@
     /// requested from a peer. This wait can be longer than `feed_head_start`, because servers
     /// announce their shutdown and a failed server is detected without the registry.
     static constexpr std::chrono::milliseconds registry_head_start{1500};
-    /// The traffic thread gets no list of proxies until the list is complete or this much time has
-    /// passed. Without a list, the traffic thread opens only the smallest number of connections.
-    static constexpr std::chrono::milliseconds peer_list_timeout{1500};
-    /// Timeout for the start of a peer's reply to a snapshot request, and between two parts of the
-    /// reply.
-    static constexpr std::chrono::milliseconds catch_up_timeout{500};
     /// How many proxies, for each one that polls a table, query the store first if the peers do not
     /// keep their copies current. Enough that one of a small part of the cluster is among them.
     static constexpr std::size_t overdue_readers_per_poller = 8;
     /// How long the proxies that query the store first because they are behind have before twice as
     /// many do. An answer with the configuration takes less.
     static constexpr std::chrono::milliseconds behind_step{500};
+    /// The traffic thread gets no list of proxies until the list is complete or this much time has
+    /// passed. Without a list, the traffic thread opens only the smallest number of connections.
+    static constexpr std::chrono::milliseconds peer_list_timeout{1500};
+    /// Timeout for the start of a peer's reply to a snapshot request, and between two parts of the
+    /// reply.
+    static constexpr std::chrono::milliseconds catch_up_timeout{500};
     /// Maximum number of peers to which this proxy sends the configuration concurrently. The link of
     /// a small VM can transfer only a few copies of the configuration within a heartbeat period. The
     /// peers that received a copy pass it on, so that the remaining ones get it sooner than if all
@@ -247,6 +253,10 @@
     /// as long.
     static constexpr std::chrono::milliseconds catch_up_pause{60};
     static constexpr std::size_t max_service_peers_asked = 12;
+    static constexpr std::chrono::milliseconds initial_registration_pause{400};
+    /// With at most this pause, 3,500 proxies that register together make four times as many
+    /// attempts a second as the store accepts (250).
+    static constexpr std::chrono::milliseconds max_registration_pause{6400};
     static constexpr std::chrono::milliseconds rewrite_spread{2000};
     static constexpr int max_rewrites = 5;
     /// Number of live proxies listed in a gossip message. At six gossip exchanges per proxy and
@@ -259,10 +269,6 @@
     static constexpr std::size_t max_message_bytes = 8192;
 
     asio::any_io_executor m_executor;
-    static constexpr std::chrono::milliseconds initial_registration_pause{400};
-    /// With at most this pause, 3,500 proxies that register together make four times as many
-    /// attempts a second as the store accepts (250).
-    static constexpr std::chrono::milliseconds max_registration_pause{6400};
     control_settings m_settings;
     Store& m_store;
     bridge& m_bridge;
@@ -305,6 +311,7 @@
     /// Whether the list of proxies has been read from the store.
     bool m_peers_loaded{false};
     std::vector<session::proxy_node> m_published_proxies;
+    session::ownership_cache m_ownership;
     /// Whether `m_published_proxies` included every proxy in the table when it was published.
     bool m_published_complete{false};
     std::minstd_rand m_random{std::random_device{}()};
--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -70,10 +70,8 @@
     }
     m_behind_since = {};
     m_config = config;
+    m_ownership.clear();
     m_bridge.update(std::move(config));
-    for (const auto& [name, limits] : m_config.services) {
-        m_services.try_emplace(name);
-    }
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
--- a/src/cornellever/cluster/control_joining.ipp
+++ b/src/cornellever/cluster/control_joining.ipp
@@ -128,6 +128,7 @@
     }
     if (proxies != m_published_proxies || m_peers_loaded != m_published_complete) {
         m_published_proxies = proxies;
+        m_ownership.clear();
         m_published_complete = m_peers_loaded;
         m_counts.proxies = proxies.size();
         m_bridge.set_proxies(std::move(proxies), m_peers_loaded);
--- a/src/cornellever/cluster/control_peers.ipp
+++ b/src/cornellever/cluster/control_peers.ipp
@@ -78,15 +78,10 @@
 /// session, and had a replica promoted while the others went on writing to the primary.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 std::set<std::string, std::less<>>
-control<Store, Orders, Connector>::owners_of(const std::set<std::string, std::less<>>& services) const {
+control<Store, Orders, Connector>::owners_of(const std::set<std::string, std::less<>>& services) {
     std::set<std::string, std::less<>> out;
     for (const auto& name : services) {
-        const auto limits = m_config.services.find(name);
-        if (limits == m_config.services.end() || m_published_proxies.empty()) {
-            continue;
-        }
-        for (const auto& owner :
-             session::allocate_connections(name, limits->second.max_connections, m_published_proxies).owners) {
+        for (const auto& owner : ownership_of(name).owners) {
             out.insert(owner.name);
         }
     }
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -58,13 +58,18 @@
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
-std::chrono::milliseconds control<Store, Orders, Connector>::promotion_delay(const std::string& service) const {
+std::chrono::milliseconds control<Store, Orders, Connector>::promotion_delay(const std::string& service) {
     if (!m_store_reachable()) {
         return promotion_delay_step * (max_promotion_delay_steps + 2);
     }
-    // Only proxies that use the service can judge its primary. This proxy waits one step for each
-    // of them whose name sorts before its own.
+    // This proxy waits one step for each proxy that uses the service and whose name sorts before
+    // its own. A proxy that does not use the service also waits for the owners ranked before it.
     std::ptrdiff_t position = 0;
+    if (observation_of(service) == nullptr) {
+        const auto& owners = ownership_of(service).owners;
+        const auto self = std::ranges::find(owners, m_settings.name, &session::proxy_node::name);
+        position = self == owners.end() ? 0 : std::distance(owners.begin(), self);
+    }
     for (const auto& name : m_members.eligible(boot_clock::now())) {
         const auto found = m_members.peers().find(name);
         if (name >= m_settings.name || found == m_members.peers().end()) {
@@ -81,12 +86,43 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::check_primaries() {
     const auto peer_reports = reports_from_peers();
-    for (const auto& [service, servers] : m_registry.by_service()) {
-        if (const auto found = m_services.find(service); found != m_services.end()) {
-            const auto reports = peer_reports.find(service);
-            check_primary(service, servers, found->second,
-                          reports == peer_reports.end() ? std::span<const peer_report>{} : reports->second);
+    const auto stands_by = [this](const std::string& service) {
+        return m_config.services.contains(service) && ownership_of(service).owns(m_settings.name);
+    };
+    for (const auto name : judged_services(m_observations, m_registry.unsettled_services(), stands_by)) {
+        const auto servers = m_registry.by_service().find(name);
+        if (servers == m_registry.by_service().end()) {
+            continue;
         }
+        const auto& service = servers->first;
+        const auto reports = peer_reports.find(service);
+        check_primary(service, servers->second, m_services[service],
+                      reports == peer_reports.end() ? std::span<const peer_report>{} : reports->second);
+    }
+}
+
+/// Takes the primary from the registry. If the only entry that names a primary is missing, that
+/// server is still the primary to replace: this proxy may not have judged the service before.
+template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
+void control<Store, Orders, Connector>::update_registered_primary(
+    std::span<const routing::backend_server* const> servers, service_state& state) const {
+    const auto now = boot_clock::now();
+    std::string registered;
+    std::string missing;
+    for (const auto* server : servers) {
+        if (server->role != routing::server_role::primary) {
+            continue;
+        }
+        if (!m_registry.missing_for(server->id, now)) {
+            registered = server->id;
+        } else if (missing.empty() || server->id == state.primary) {
+            missing = server->id;
+        }
+    }
+    if (!registered.empty()) {
+        state.primary = registered;
+    } else if (!missing.empty()) {
+        state.primary = missing;
     }
 }
 
@@ -100,26 +136,19 @@
     if (state.replacing || now < state.retry_at) {
         return;
     }
-    std::string registered;
-    for (const auto* server : servers) {
-        if (server->role == routing::server_role::primary && !m_registry.missing_for(server->id, now)) {
-            registered = server->id;
-        }
-    }
     const auto* own_observation = observation_of(service);
     const bool observes_primary = own_observation != nullptr && !own_observation->primary.id.empty();
     if (observes_primary) {
         state.primary = own_observation->primary.id;
-    } else if (!registered.empty()) {
-        state.primary = registered;
-    }
-    const bool leaderless = registered.empty() && !observes_primary;
-    if (!leaderless) {
         state.leaderless_since = now;
+    } else {
+        update_registered_primary(servers, state);
     }
     std::vector<primary_view> views;
     auto verdict = verdict_for(state, own_observation, peer_reports, views);
-    if (verdict == primary_verdict::fine && now - state.leaderless_since > leaderless_timeout) {
+    const auto leaderless_since = m_registry.leaderless_since(service);
+    if (verdict == primary_verdict::fine && !observes_primary && leaderless_since &&
+        now - std::max(*leaderless_since, state.leaderless_since) > leaderless_timeout) {
         verdict = primary_verdict::lost;
     }
     if (verdict != state.verdict) {
--- a/src/cornellever/cluster/registry_cache.hpp
+++ b/src/cornellever/cluster/registry_cache.hpp
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "cornellever/core/boot_clock.hpp"
 #include "cornellever/routing/model.hpp"
@@ -41,6 +43,14 @@
     /// Returns the servers in `effective()` by service. The result is valid until the next change.
     [[nodiscard]] const routing::servers_by_service& by_service() const noexcept { return m_by_service; }
 
+    /// Returns the services whose registry entries alone may require a new primary: a server is
+    /// missing or draining, or no server is registered as the primary.
+    [[nodiscard]] const std::set<std::string, std::less<>>& unsettled_services() const noexcept { return m_unsettled; }
+
+    /// Returns since when no server is registered as the service's primary, or nullopt if one is.
+    /// Services that had none in the first registry get the epoch.
+    [[nodiscard]] std::optional<time_point> leaderless_since(std::string_view service) const;
+
     /// Returns only the registered servers, without those in their grace period. This is what peers
     /// are sent, so that a server retained by one proxy does not look registered to another.
     [[nodiscard]] const routing::registry& registered() const noexcept { return m_registered; }
@@ -55,9 +65,14 @@
     /// drain time), and the period ends earlier than that to leave time for requests in progress.
     static constexpr std::chrono::milliseconds grace_period{4500};
 
+    void update_services(time_point now);
+
     routing::registry m_registered;
     routing::registry m_effective;
     routing::servers_by_service m_by_service;
+    std::set<std::string, std::less<>> m_unsettled;
+    std::map<std::string, time_point, std::less<>> m_leaderless_since;
+    bool m_loaded{false};
     std::map<std::string, time_point, std::less<>> m_missing_since;
 };
 
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -23,6 +23,7 @@
 #include "cornellever/session/caller.hpp"
 #include "cornellever/session/connection_ownership.hpp"
 #include "cornellever/session/operation_limits.hpp"
+#include "cornellever/session/ownership_cache.hpp"
 #include "cornellever/session/primary_paths.hpp"
 #include "cornellever/session/relay.hpp"
 #include "cornellever/session/statement_engine.hpp"
@@ -204,8 +205,7 @@
     primary_paths m_paths;
     /// When each peer last refused or lost a session, by the peer's name.
     std::map<std::string, boot_clock::time_point, std::less<>> m_peer_failures;
-    /// The connection owners of each service, by service name; computed on first use.
-    std::map<std::string, connection_ownership, std::less<>> m_ownership;
+    ownership_cache m_ownership;
     traffic_counters m_counters;
     accounts::authorizer m_authorizer;
     operation_limits m_limits;
--- a/src/cornellever/session/traffic_sharing.ipp
+++ b/src/cornellever/session/traffic_sharing.ipp
@@ -16,12 +16,7 @@
 
 template <routing::link_connector Connector>
 const connection_ownership& traffic<Connector>::ownership_of(const std::string& service) {
-    auto [at, missing] = m_ownership.try_emplace(service);
-    const auto limits = m_config.services.find(service);
-    if (missing && limits != m_config.services.end() && !m_proxies.empty()) {
-        at->second = allocate_connections(service, limits->second.max_connections, m_proxies);
-    }
-    return at->second;
+    return m_ownership.find(service, m_config, m_proxies);
 }
 
 template <routing::link_connector Connector>
--- a/tests/unit/cluster.cpp
+++ b/tests/unit/cluster.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <set>
 
+#include "cornellever/cluster/judged_services.hpp"
 #include "cornellever/cluster/membership.hpp"
 #include "cornellever/cluster/peer_message.hpp"
 #include "cornellever/cluster/primary_judge.hpp"
@@ -409,6 +410,8 @@
     BOOST_TEST(!cache.expire(start + 8s));
     BOOST_TEST(cache.expire(start + 9s));
     BOOST_TEST(!cache.effective().servers.contains("r1"));
+    // A server that is gone is reported once; each report passes all servers to the traffic thread.
+    BOOST_TEST(!cache.expire(start + 10s));
 }
 
 BOOST_AUTO_TEST_CASE(a_drained_server_is_removed_at_once) {
@@ -443,6 +446,56 @@
     BOOST_TEST(cache.by_service().at("a").front()->id == "a1");
 }
 
+// Guards against work that grows with all services: each proxy judged the primary of every service
+// ten times a second, whether it used the service or not.
+BOOST_AUTO_TEST_CASE(only_used_or_unsettled_services_are_judged) {
+    routing::registry registered;
+    registered.version = 1;
+    for (int i = 0; i < 300; ++i) {
+        const auto service = "s" + std::to_string(i);
+        for (const auto* suffix : {"p", "r"}) {
+            const auto id = service + suffix;
+            routing::backend_server server{.id = id, .service = service};
+            server.role = *suffix == 'p' ? routing::server_role::primary : routing::server_role::replica;
+            registered.servers.emplace(id, server);
+        }
+    }
+    cluster::registry_cache cache;
+    cache.apply(registered, start);
+    const std::map<std::string, int, std::less<>> used{{"s7", 0}};
+    const auto judged = [&](bool stands_by) {
+        return cluster::judged_services(used, cache.unsettled_services(),
+                                        [&](const std::string&) { return stands_by; });
+    };
+    BOOST_TEST(judged(true) == std::vector<std::string_view>{"s7"}, boost::test_tools::per_element());
+    registered.version = 2;
+    registered.servers.at("s1p").draining = true;
+    registered.servers.erase("s2p");
+    registered.servers.at("s3p").role = routing::server_role::replica;
+    cache.apply(registered, start + 1s);
+    const std::vector<std::string_view> expected{"s7", "s1", "s2", "s3"};
+    BOOST_TEST(judged(true) == expected, boost::test_tools::per_element());
+    BOOST_TEST(judged(false) == std::vector<std::string_view>{"s7"}, boost::test_tools::per_element());
+}
+
+// Guards against a second promotion by a proxy that does not use the service and starts to judge it
+// between the old primary's demotion and the registration of the new one.
+BOOST_AUTO_TEST_CASE(a_service_is_leaderless_from_the_change_of_the_registry) {
+    auto servers = test::three_servers();
+    const auto service = servers.servers.at("p").service;
+    cluster::registry_cache cache;
+    cache.apply(servers, start);
+    BOOST_TEST(!cache.leaderless_since(service));
+    servers.version += 1;
+    servers.servers.at("p").role = routing::server_role::replica;
+    cache.apply(servers, start + 60s);
+    BOOST_TEST((cache.leaderless_since(service) == start + 60s));
+    servers.version += 1;
+    servers.servers.at("r1").role = routing::server_role::primary;
+    cache.apply(servers, start + 61s);
+    BOOST_TEST(!cache.leaderless_since(service));
+}
+
 // Guards against keeping a superseded configuration because the store discarded the change history
 // that contained the newer one.
 BOOST_AUTO_TEST_CASE(the_whole_table_is_read_again_when_its_history_is_gone) {
