Services that share the proxies with many others have fewer connection owners

Cause: a service had eight owners whatever it was used for.

Change: as many owners as there are proxies for each service, at least three and at most eight. Deployments with eight or more proxies a service keep theirs. The first configuration's log line says how many services it has.

Test: owners by proxies and services, and that budgets stay within the limit.

--- a/src/cornellever/session/connection_ownership.cpp
+++ b/src/cornellever/session/connection_ownership.cpp
@@ -23,6 +23,17 @@
 /// and more heartbeats, since each owner polls all others.
 constexpr std::size_t max_owners = 8;
 
+/// Minimum number of owners, if the connections suffice. With three, the concurrent loss of any two leaves one that the
+/// other proxies already know.
+constexpr std::size_t min_owners = 3;
+
+/// Returns how many owners a service should have: with as many as there are proxies for each service, a proxy owns one
+/// service on average.
+std::size_t wanted_owners(std::size_t proxies, std::size_t services) {
+    const auto per_service = (proxies + services - 1) / services;
+    return std::min(proxies, std::clamp(per_service, min_owners, max_owners));
+}
+
 /// Minimum number of proxies for which only some proxies own the connections. With fewer proxies, the extra hop of a
 /// relayed session costs more than a second connection for each owner gains.
 constexpr std::size_t min_sharing_proxies = 12;
@@ -34,7 +45,7 @@
 }
 
 connection_ownership allocate_connections(std::string_view service, std::size_t limit,
-                                          std::span<const proxy_node> proxies) {
+                                          std::span<const proxy_node> proxies, std::size_t services) {
     const auto each = routing::connections_per_proxy(limit, proxies.size());
     if (each >= 2 || proxies.size() < min_sharing_proxies) {
         return {{},
@@ -42,8 +53,8 @@
                 std::max(each, routing::connections_under_load(limit) / std::max<std::size_t>(1, proxies.size()))};
     }
     const auto usable = routing::shared_connections(limit);
-    const auto owner_count =
-        std::clamp<std::size_t>(usable / connections_per_owner, 1, std::min(proxies.size(), max_owners));
+    const auto owner_count = std::clamp<std::size_t>(usable / connections_per_owner, 1,
+                                                     wanted_owners(proxies.size(), std::max<std::size_t>(1, services)));
     using ranked_node = std::pair<std::uint64_t, const proxy_node*>;
     std::map<std::string_view, std::vector<ranked_node>> by_data_center;
     for (const auto& item : proxies) {
--- a/src/cornellever/session/connection_ownership.hpp
+++ b/src/cornellever/session/connection_ownership.hpp
@@ -37,8 +37,9 @@
 /// if each can hold at least two connections to a server, or if there are few proxies. Otherwise some proxies own all
 /// connections, and the other proxies relay their callers' sessions to the owners. Owners are chosen by rendezvous
 /// hashing, so that proxies with the same membership list choose the same owners and a membership change replaces few
-/// owners.
+/// owners. The more `services` share the proxies, the fewer owners each service has: each owner opens connections of
+/// its own and keeps asking the primary whether it still leads, which few requests per owner would not repay.
 [[nodiscard]] connection_ownership allocate_connections(std::string_view service, std::size_t limit,
-                                                        std::span<const proxy_node> proxies);
+                                                        std::span<const proxy_node> proxies, std::size_t services = 1);
 
 } // namespace cornellever::session
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -9,7 +9,8 @@
     }
     log_event(event::config_loaded, "version=" + std::to_string(config.version) +
                                         " before=" + std::to_string(m_config.version) +
-                                        " databases=" + std::to_string(config.routes.size()));
+                                        " databases=" + std::to_string(config.routes.size()) +
+                                        " services=" + std::to_string(config.services.size()));
     m_config = std::move(config);
     m_authorizer.set_accounts(m_config.accounts);
     m_configuration_due.cancel();
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -582,4 +582,19 @@
     BOOST_TEST(session::allocate_connections("stock", 16, make_proxies(7)).owners.empty());
 }
 
+// Guards against owners that grow with the services: with a thousand services, each proxy owned eight
+// on average, so that most requests opened a new connection and waited for it.
+BOOST_AUTO_TEST_CASE(many_services_have_fewer_owners_each) {
+    const auto owners = [](std::size_t proxies, std::size_t services) {
+        return session::allocate_connections("stock", 184, make_proxies(proxies), services).owners.size();
+    };
+    BOOST_TEST(owners(195, 20) == 8U);
+    BOOST_TEST(owners(200, 40) == 5U);
+    BOOST_TEST(owners(200, 200) == 3U);
+    BOOST_TEST(owners(200, 1000) == 3U);
+    const auto few = session::allocate_connections("stock", 184, make_proxies(200), 200);
+    BOOST_TEST(few.owners.size() * few.connections_each <= 92U);
+    BOOST_TEST(few.owners.size() * few.connections_each_under_load <= 161U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
