--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -98,6 +98,7 @@
     [[nodiscard]] std::vector<peer_liveness> sample_alive(std::size_t count, time_point now, Random& random) const {
         using known = std::pair<const std::string, peer>;
         std::vector<const known*> alive;
+        alive.reserve(m_peers.size());
         for (const auto& item : m_peers) {
             if (is_alive(item.second, now)) {
                 alive.push_back(&item);
