--- a/src/cornellever/cluster/membership.hpp
+++ b/src/cornellever/cluster/membership.hpp
@@ -107,6 +107,7 @@
         std::vector<const known*> chosen;
         std::ranges::sample(alive, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), random);
         std::vector<peer_liveness> out;
+        out.reserve(chosen.size());
         for (const auto* item : chosen) {
             out.push_back(
                 {item->first, std::chrono::duration_cast<std::chrono::milliseconds>(now - item->second.alive_at)});
--- a/src/cornellever/ctl/losses.cpp
+++ b/src/cornellever/ctl/losses.cpp
@@ -100,6 +100,7 @@
 
 std::vector<loss_table::row> loss_table::rows() const {
     std::vector<row> out;
+    out.reserve(m_counts.size());
     for (const auto& [group, count] : m_counts) {
         out.push_back({group, count});
     }
