--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,8 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Wno-missing-field-initializers -DBOOST_ASIO_NO_DEPRECATED \
-    -o bin/stale_read stand_ins/stale_read.cpp -ljsoncpp -lpthread
+for name in stale_read two_holders; do
+    g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Wno-missing-field-initializers \
+        -DBOOST_ASIO_NO_DEPRECATED -o "bin/$name" "stand_ins/$name.cpp" -ljsoncpp -lpthread &
+done
+wait
--- a/review/stand_ins/database.hpp
+++ b/review/stand_ins/database.hpp
@@ -225,7 +225,8 @@
         const position out{m_term, at.log.size()};
         for (auto& item : m_instances) {
             if (item.get() != &at && item->running) {
-                const auto lag = std::chrono::duration<double, std::milli>(spread(m_figures.lag_mean_ms, m_figures.lag_max_ms));
+                const auto lag =
+                    std::chrono::duration<double, std::milli>(spread(m_figures.lag_mean_ms, m_figures.lag_max_ms));
                 auto entry = at.log.back();
                 entry.due = clock::now() + std::chrono::duration_cast<clock::duration>(lag);
                 if (!item->log.empty()) {
@@ -324,7 +325,8 @@
             --at.queued;
         }
         ++at.busy;
-        co_await sleep_for(milliseconds{static_cast<long>(std::ceil(spread(m_figures.work_mean_ms, m_figures.work_max_ms)))});
+        co_await sleep_for(
+            milliseconds{static_cast<long>(std::ceil(spread(m_figures.work_mean_ms, m_figures.work_max_ms)))});
         --at.busy;
         co_return true;
     }
@@ -363,9 +365,9 @@
         if (word == "STATUS" || word == "STEPDOWN") {
             const auto count = at.log.size();
             const auto received = std::to_string(count == 0 ? 0 : at.log.back().term) + "." + std::to_string(count);
-            co_return std::string{"ROW "} + (&at == m_primary ? "primary " : "replica ") + std::to_string(m_term) + " " +
-                received + " 0 0 " + std::to_string(at.busy) + " " + std::to_string(at.connections.size()) + "\r\n" +
-                complete(at, client);
+            co_return std::string{"ROW "} + (&at == m_primary ? "primary " : "replica ") + std::to_string(m_term) +
+                " " + received + " 0 0 " + std::to_string(at.busy) + " " + std::to_string(at.connections.size()) +
+                "\r\n" + complete(at, client);
         }
         if (word != "READ" && word != "WRITE" && word != "COMMIT") {
             co_return complete(at, client);
--- a/review/stand_ins/stale_read.cpp
+++ b/review/stand_ins/stale_read.cpp
@@ -42,16 +42,17 @@
 
     int run() {
         const auto ports = free_ports(m_io, 1 + 4 * proxies);
-        m_store = std::make_unique<platform_store>(
-            m_io, ports[0],
-            [this](const std::string& service, const std::string& id, const std::string& holder, std::uint64_t token) {
-                for (auto& item : m_services) {
-                    if (item->name() == service) {
-                        return item->promote(id, holder, token);
-                    }
-                }
-                return 409U;
-            });
+        m_store = std::make_unique<platform_store>(m_io, ports[0],
+                                                   [this](const std::string& service, const std::string& id,
+                                                          const std::string& holder,
+                                                          std::uint64_t token) -> std::optional<unsigned> {
+                                                       for (auto& item : m_services) {
+                                                           if (item->name() == service) {
+                                                               return item->promote(id, holder, token);
+                                                           }
+                                                       }
+                                                       return 409;
+                                                   });
         for (int i = 0; i < 3; ++i) {
             start_service("ledger" + std::to_string(i + 1), static_cast<std::uint64_t>(i));
         }
@@ -149,9 +150,10 @@
         if (!sent.own_commit.empty() && !service.rolled_back().contains(sent.own_commit) &&
             !service.holds(at, sent.own_commit)) {
             ++m_stale;
-            m_record.line("STALE: " + sent.session->name + " read " + id + " ran at " + at.id + ", whose log stood at " +
-                          service.position_of(at).text() + " and lacked the session's own commit " + sent.own_commit +
-                          " at " + sent.commit_position + ", acknowledged before the read was sent");
+            m_record.line("STALE: " + sent.session->name + " read " + id + " ran at " + at.id +
+                          ", whose log stood at " + service.position_of(at).text() +
+                          " and lacked the session's own commit " + sent.own_commit + " at " + sent.commit_position +
+                          ", acknowledged before the read was sent");
         }
     }
 
@@ -160,9 +162,11 @@
         for (int i = 0; i < proxies; ++i) {
             for (std::size_t k = 0; k < m_services.size(); ++k) {
                 for (int n = 0; n < sessions_each; ++n) {
-                    const auto name = "front-" + std::to_string(i + 1) + "/" + m_services[k]->name() + "/" + std::to_string(n);
+                    const auto name =
+                        "front-" + std::to_string(i + 1) + "/" + m_services[k]->name() + "/" + std::to_string(n);
                     const auto database = "db-" + m_services[k]->name();
-                    asio::co_spawn(m_io, run_session(m_callers[static_cast<std::size_t>(i)], database, name), asio::detached);
+                    asio::co_spawn(m_io, run_session(m_callers[static_cast<std::size_t>(i)], database, name),
+                                   asio::detached);
                 }
             }
         }
--- a/review/stand_ins/store.hpp
+++ b/review/stand_ins/store.hpp
@@ -33,7 +33,9 @@
     static constexpr char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string out;
     for (std::size_t i = 0; i < text.size(); i += 3) {
-        const auto byte = [&](std::size_t k) -> unsigned { return k < text.size() ? static_cast<unsigned char>(text[k]) : 0U; };
+        const auto byte = [&](std::size_t k) -> unsigned {
+            return k < text.size() ? static_cast<unsigned char>(text[k]) : 0U;
+        };
         const unsigned group = byte(i) << 16U | byte(i + 1) << 8U | byte(i + 2);
         out += digits[group >> 18U & 63U];
         out += digits[group >> 12U & 63U];
@@ -46,9 +48,10 @@
 /// The platform's store. Rows have one version counter, which grows with each transaction.
 class platform_store {
 public:
-    /// Handles POST /promote with service, server, holder and fencing token; returns the HTTP status.
-    using promote_handler =
-        std::function<unsigned(const std::string&, const std::string&, const std::string&, std::uint64_t)>;
+    /// Handles POST /promote with service, server, holder and fencing token; returns the HTTP status, or nothing if the
+    /// call gets no answer.
+    using promote_handler = std::function<std::optional<unsigned>(const std::string&, const std::string&,
+                                                                  const std::string&, std::uint64_t)>;
 
     platform_store(asio::io_context& io, unsigned short port, promote_handler promote)
         : m_io{io}
@@ -118,8 +121,8 @@
 
     void stamp(Json::Value& out) const {
         out["Ver"] = static_cast<Json::UInt64>(m_version);
-        out["NowMs"] = static_cast<Json::Int64>(
-            std::chrono::duration_cast<milliseconds>(clock::now() - m_started).count());
+        out["NowMs"] =
+            static_cast<Json::Int64>(std::chrono::duration_cast<milliseconds>(clock::now() - m_started).count());
     }
 
     Json::Value list(parameters wanted) {
@@ -205,9 +208,14 @@
             Json::Value out{Json::objectValue};
             if (target == "/promote") {
                 const auto body = read_json(incoming.body());
-                status = m_promote(body["Service"].asString(), body["Id"].asString(),
-                                   std::string{incoming["X-Cornellever-Duty-Holder"]},
-                                   number(std::string{incoming["X-Cornellever-Fencing-Token"]}));
+                const auto answered = m_promote(body["Service"].asString(), body["Id"].asString(),
+                                                std::string{incoming["X-Cornellever-Duty-Holder"]},
+                                                number(std::string{incoming["X-Cornellever-Fencing-Token"]}));
+                if (!answered) {
+                    co_await sleep_for(milliseconds{30'000});
+                    co_return;
+                }
+                status = *answered;
             } else if (target == "/rows-tx") {
                 status = apply(read_json(incoming.body()), out) ? 200 : 412;
                 stamp(out);
