Promotions: log what an existing claim means for a proxy

CL1217 promotion.claim_checked names the claim that a proxy read before it writes its own, its age and the result.

--- a/src/cornellever/cluster/promotion_actions.hpp
+++ b/src/cornellever/cluster/promotion_actions.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -10,6 +11,7 @@
 #include "cornellever/cluster/metadata_store.hpp"
 #include "cornellever/cluster/promotion_claim.hpp"
 #include "cornellever/core/asio.hpp"
+#include "cornellever/core/boot_clock.hpp"
 #include "cornellever/core/log.hpp"
 #include "cornellever/core/state_chart.hpp"
 
@@ -83,6 +85,7 @@
             co_return "store_unreachable";
         }
         const auto before = decode_claim(row->value);
+        log_check(current, before, row->store_time);
         if (before && blocked(*before, row->store_time)) {
             co_return "held_by_other";
         }
@@ -139,6 +142,19 @@
     }
 
 private:
+    void log_check(const promotion_attempt& current, const std::optional<promotion_claim>& before,
+                   std::chrono::milliseconds store_time) const {
+        if (!before) {
+            log_event(event::claim_checked, "service=" + current.service + " result=none");
+            return;
+        }
+        const auto state = classify(*before, current.old, m_claimant, store_time);
+        log_event(event::claim_checked, "service=" + current.service + " holder=" + before->holder +
+                                            " replaces=" + before->replaces + " successor=" + before->successor +
+                                            " age_ms=" + std::to_string(to_ms(store_time - before->at)) +
+                                            " result=" + std::string{to_string(state)});
+    }
+
     static constexpr std::chrono::milliseconds leadership_timeout{1400};
     /// Maximum number of times that an order is sent. An order without a response may be executed
     /// up to 12 s later; this limit lets other proxies claim the promotion long before that.
--- a/src/cornellever/cluster/promotion_claim.cpp
+++ b/src/cornellever/cluster/promotion_claim.cpp
@@ -23,9 +23,29 @@
 
 } // namespace
 
-bool blocks_promotion(const promotion_claim& before, std::string_view old, std::string_view claimant,
-                      std::chrono::milliseconds store_time) {
-    return before.replaces == old && before.holder != claimant && store_time - before.at < claim_lease;
+claim_state classify(const promotion_claim& before, std::string_view old, std::string_view claimant,
+                     std::chrono::milliseconds store_time) {
+    if (before.holder == claimant) {
+        return claim_state::own;
+    }
+    if (before.replaces != old) {
+        return claim_state::other_primary;
+    }
+    return store_time - before.at < claim_lease ? claim_state::held : claim_state::expired;
+}
+
+std::string_view to_string(claim_state state) noexcept {
+    switch (state) {
+    case claim_state::own:
+        return "own";
+    case claim_state::other_primary:
+        return "other_primary";
+    case claim_state::expired:
+        return "expired";
+    case claim_state::held:
+        return "held";
+    }
+    return "unknown";
 }
 
 bool blocks_handover(const promotion_claim& before, std::chrono::milliseconds store_time) {
--- a/src/cornellever/cluster/promotion_claim.hpp
+++ b/src/cornellever/cluster/promotion_claim.hpp
@@ -26,10 +26,28 @@
     std::chrono::milliseconds at{0};
 };
 
-/// Returns whether the claim `before` keeps `claimant` from replacing `old`, because another proxy
-/// made the claim to replace the same primary and the claim has not expired.
-[[nodiscard]] bool blocks_promotion(const promotion_claim& before, std::string_view old, std::string_view claimant,
-                                    std::chrono::milliseconds store_time);
+/// What an existing claim means for a proxy that is about to replace a primary.
+enum class claim_state {
+    /// The claim was made by the same process.
+    own,
+    /// The claim is to replace a different primary.
+    other_primary,
+    /// Another proxy made the claim to replace the same primary, too long ago.
+    expired,
+    /// Another proxy made the claim to replace the same primary and may still be doing so.
+    held,
+};
+
+[[nodiscard]] claim_state classify(const promotion_claim& before, std::string_view old, std::string_view claimant,
+                                   std::chrono::milliseconds store_time);
+
+[[nodiscard]] std::string_view to_string(claim_state state) noexcept;
+
+/// Returns whether the claim `before` keeps `claimant` from replacing `old`.
+[[nodiscard]] inline bool blocks_promotion(const promotion_claim& before, std::string_view old,
+                                           std::string_view claimant, std::chrono::milliseconds store_time) {
+    return classify(before, old, claimant, store_time) == claim_state::held;
+}
 
 /// Returns whether the claim `before` is so recent that the primary must not be handed over.
 [[nodiscard]] bool blocks_handover(const promotion_claim& before, std::chrono::milliseconds store_time);
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -53,6 +53,8 @@
     handover_judged = 1214,
     handover_done = 1215,
     handover_given_up = 1216,
+    /// A proxy read the claim on a service before it writes its own.
+    claim_checked = 1217,
     // Connection pools, sessions, requests and logging.
     pool_exhausted = 1301,
     connection_broken = 1302,
