Read floor: a commit of a later term than all samples is part of it

Cause: until its first commit, a new primary reports a position of the previous term. If the proxy asks for that report after it has sent the session's write, the sample of the write is dropped, because its time is not later, and the newest sample is of the previous term. floor() took any commit of another term than the newest sample for one of an earlier term, which an entry of the current term would include.

Evidence: with that sequence of samples, read_floor.floor() returned 4.612 or 4.570 for a session whose commit is 5.614.

Change: only a commit of an earlier term than the newest sample is left out. That also covers a session that moves to a proxy which does not know the new term yet.

Test: unit read_floor (the_floor_includes_a_commit_of_a_term_without_a_sample) failed before.

--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -116,9 +116,15 @@
         return std::nullopt;
     }
     const auto out = lowest_sufficient(static_cast<std::size_t>(oldest - m_samples.begin()), now);
-    if (!own_commit || in_current_term(out)) {
+    if (!own_commit) {
+        return out;
+    }
+    // A new primary reports a position of the previous term until its first commit, so the session's commit may be of a
+    // later term than all samples.
+    const bool in_earlier_term = own_commit->term < m_samples.back().position.term;
+    if (in_earlier_term && in_current_term(out)) {
         // A log that holds an entry of the current term holds all commits of earlier terms that were not rolled back.
-        return own_commit && own_commit->term == out.term ? std::max(out, *own_commit) : out;
+        return out;
     }
     if (!rolled_back(*own_commit)) {
         return std::max(out, *own_commit);
--- a/tests/unit/read_floor.cpp
+++ b/tests/unit/read_floor.cpp
@@ -33,6 +33,23 @@
     BOOST_TEST((floor.floor(start + 100ms, 1500ms, log_position{1, 12}) == log_position{1, 12}));
 }
 
+// Guards against a session that reads without its own commit right after a promotion: the new primary reports a
+// position of the previous term until its first commit, and the sample of the session's own write is dropped if that
+// report was requested later.
+BOOST_AUTO_TEST_CASE(the_floor_includes_a_commit_of_a_term_without_a_sample) {
+    routing::read_floor floor;
+    floor.add(sample(0ms, {4, 570}));
+    floor.add(sample(1000ms, {4, 612}));
+    floor.add(sample(990ms, {5, 614}));
+    for (const auto max_staleness : {0ms, 1500ms}) {
+        const auto now = start + 1000ms;
+        BOOST_TEST((floor.floor(now, max_staleness, log_position{5, 614}) == log_position{5, 614}));
+    }
+    floor.add(sample(1040ms, {5, 620}));
+    BOOST_TEST((floor.floor(start + 1100ms, 60ms, log_position{5, 614}) == log_position{5, 620}));
+    BOOST_TEST((floor.floor(start + 1100ms, 60ms, log_position{4, 600}) == log_position{5, 620}));
+}
+
 // Guards against reads beyond their freshness bound while no proxy reaches the
 // primary: it is unknown how far replicas are behind.
 BOOST_AUTO_TEST_CASE(without_a_recent_sample_there_is_no_floor) {
