Draining servers: a new process does not count the drain time from its own start

Cause: a pool counted the time for which it uses a draining primary (5.5 s) from when it first saw the registration. A process that starts, or a pool that is first used, while the server drains began anew.

Change: routing::drain_times keeps the times per process, from when a registration changes to draining. A server that drains when the process first sees it counts as drained and gets no new requests; the promotion that its registration starts takes 1.2 s.

Why it works: a time is only used where this process saw the change itself, so it is late by the delay of the registry at most, for which the 5.5 s leave 1.5 s.

--- /dev/null
+++ b/src/cornellever/routing/drain_times.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cornellever/core/boot_clock.hpp"
+#include "cornellever/routing/model.hpp"
+
+namespace cornellever::routing {
+
+/// Since when servers have been draining, that is, finishing their work before they stop.
+class drain_times {
+public:
+    using time_point = boot_clock::time_point;
+
+    /// Records a new registry. A server that drains when this proxy first sees it may have announced that long ago. It
+    /// counts as having drained for `unknown_age`, so that it gets no new requests.
+    void update(const registry& before, const registry& next, time_point now);
+
+    /// Returns since when a server has been draining, or nothing if it is not.
+    [[nodiscard]] std::optional<time_point> since(std::string_view id) const;
+
+private:
+    /// Longer than any server takes to stop.
+    static constexpr std::chrono::hours unknown_age{1};
+
+    std::map<std::string, time_point, std::less<>> m_since;
+};
+
+} // namespace cornellever::routing
--- a/src/cornellever/routing/pool_entry.hpp
+++ b/src/cornellever/routing/pool_entry.hpp
@@ -133,7 +133,7 @@
     /// Leadership confirmations (replies that show that the server is the primary) do not count if they were requested
     /// at or before this time. Set when the server restarted or lost its log.
     time_point leadership_valid_after{};
-    /// When the server was first seen draining (finishing its work before it stops).
+    /// Since when the server has been draining, as in `drain_times`.
     std::optional<time_point> draining_since;
 
     /// Whether `connection` was opened after the server's empty log was last known to have lost no commits. The server
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -22,6 +22,7 @@
 #include "cornellever/routing/connection_budget.hpp"
 #include "cornellever/routing/connection_lease.hpp"
 #include "cornellever/routing/connection_request.hpp"
+#include "cornellever/routing/drain_times.hpp"
 #include "cornellever/routing/log_high_water_mark.hpp"
 #include "cornellever/routing/placement.hpp"
 #include "cornellever/routing/pool_entry.hpp"
@@ -76,7 +77,7 @@
     [[nodiscard]] bool is_primed(const slot& held) const { return held.primed && held.primed_at >= m_epoch; }
 
     /// Replaces the registered servers of the service.
-    void update(std::span<const backend_server* const> servers);
+    void update(std::span<const backend_server* const> servers, const drain_times& drains);
 
     /// Checks out a connection for `request` and waits for one until `request.until` if necessary. The returned lease
     /// is empty if no connection became free in time or none is expected to become free in time.
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -3,7 +3,7 @@
 namespace cornellever::routing {
 
 template <link_connector Connector>
-void service_pool<Connector>::update(std::span<const backend_server* const> servers) {
+void service_pool<Connector>::update(std::span<const backend_server* const> servers, const drain_times& drains) {
     const auto now = boot_clock::now();
     const auto restarted = retire_all_but(servers);
     for (const auto* item : servers) {
@@ -15,11 +15,7 @@
         }
         const bool claims_primary = item->role == server_role::primary && (fresh || at->server.role != item->role);
         at->server = *item;
-        if (item->draining && !at->draining_since) {
-            at->draining_since = now;
-        } else if (!item->draining) {
-            at->draining_since.reset();
-        }
+        at->draining_since = drains.since(item->id);
         // After a primary has lost its log, the registry may still hold an outdated registration of an earlier primary.
         // In that case the registered role alone does not make a server the primary.
         const bool unconfirmed = !m_log_lost_server.empty() || at->empty_log_since;
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -16,6 +16,7 @@
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
 #include "cornellever/core/stable_hash.hpp"
+#include "cornellever/routing/drain_times.hpp"
 #include "cornellever/routing/model.hpp"
 #include "cornellever/routing/servers_by_service.hpp"
 #include "cornellever/routing/service_pool.hpp"
@@ -222,6 +223,7 @@
     std::string m_data_center;
     routing::configuration m_config;
     routing::registry m_registry;
+    routing::drain_times m_drain_times;
     std::vector<proxy_node> m_proxies;
     primary_paths m_paths;
     /// When each peer last refused or lost a session, by the peer's name.
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -25,6 +25,7 @@
     if (servers.version < m_registry.version) {
         return;
     }
+    m_drain_times.update(m_registry, servers, boot_clock::now());
     m_registry = std::move(servers);
     if (m_ownership.update_slots(m_registry)) {
         update_connection_budgets();
@@ -37,7 +38,8 @@
     const auto registered = routing::group_by_service(m_registry);
     for (auto& [name, backends] : m_pools) {
         const auto own = registered.find(name);
-        backends->update(own == registered.end() ? std::span<const routing::backend_server* const>{} : own->second);
+        backends->update(own == registered.end() ? std::span<const routing::backend_server* const>{} : own->second,
+                         m_drain_times);
     }
 }
 
