Pools: a former primary keeps no transaction opened ahead of use

Cause: when a peer or the registry reports a new primary first, the idle connections to the old one stay primed, that is they hold a transaction that the proxy opened ahead of use. The poll for the position of a lagging replica sends BEGIN READ and ROLLBACK on such a connection. That ends the transaction but not the mark, and a transaction that gets the connection sends its statements without BEGIN.

Change: the poll rolls the transaction back and clears the mark, as the other commands on idle connections do. A new primary ends the transactions opened ahead of use on the one before, which otherwise refuses every read in them.

--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -291,8 +291,12 @@
             forget_empty_log(*item);
         }
     }
+    const auto before = m_entries.find(m_primary);
     m_primary = id;
     m_log_lost_server.clear();
+    if (before != m_entries.end()) {
+        roll_back_primed(*before->second);
+    }
     prime_idle(from);
 }
 
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -221,10 +221,14 @@
 template <link_connector Connector>
 asio::awaitable<void> service_pool<Connector>::query_position(slot& held) {
     std::vector<sql::command> batch;
+    if (std::exchange(held.primed, false)) {
+        batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
+    }
     batch.push_back(sql::proxy_command(sql::statement_kind::begin_read_only));
+    const auto reply_index = batch.size();
     batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
     held.sent_at = boot_clock::now();
-    auto answer = co_await held.connection->exchange(std::move(batch), 1, held.sent_at + control_limit);
+    auto answer = co_await held.connection->exchange(std::move(batch), reply_index, held.sent_at + control_limit);
     if (answer) {
         note_reply(*held.server_entry, std::nullopt);
         note_position(*held.server_entry, answer->position, held.sent_at);
