Readiness: a proxy is not ready once its stop is announced

Callers: new sessions were opened at a process that was being stopped, and each was closed after its first reply (review, seen once by hand).

Cause: the signal handler set a variable that nothing read, and the readiness page asked only whether a configuration is known. planned_stop relies on the load balancer being told.

Change: readiness is a state of the traffic that ends when the stop is announced; sessions that arrive before the load balancer has noticed are still served.

Test: unit sessions (proxy_is_not_ready_once_its_stop_is_announced); the functions are new.

--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -112,6 +112,13 @@
     /// Whether a configuration is known. Without a configuration no session can be opened.
     [[nodiscard]] bool has_configuration() const noexcept { return m_config.version != 0; }
 
+    /// From now on, this proxy is not ready. It still serves its sessions, and new ones that the load balancer opens
+    /// until it has noticed.
+    void announce_stop() { m_stop_announced = true; }
+
+    /// Whether the load balancer should open sessions at this proxy.
+    [[nodiscard]] bool ready() const noexcept { return has_configuration() && !m_stop_announced; }
+
     /// From now on, each session is closed after its next reply outside a transaction.
     void close_after_answer() { m_close_after_answer = true; }
 
@@ -224,6 +231,7 @@
     routing::configuration m_config;
     routing::registry m_registry;
     routing::drain_times m_drain_times;
+    bool m_stop_announced{false};
     std::vector<proxy_node> m_proxies;
     primary_paths m_paths;
     /// When each peer last refused or lost a session, by the peer's name.
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -324,6 +324,19 @@
 
 // Guards against interrupted requests at a planned stop: an idle session was
 // closed while a request was in transit. Right after a reply there can be none.
+// Guards against new sessions at a proxy that is being stopped: it still reported that it was ready.
+BOOST_AUTO_TEST_CASE(proxy_is_not_ready_once_its_stop_is_announced) {
+    proxy_in_memory proxy{proxy_in_memory::unconfigured{}};
+    BOOST_TEST(!proxy.host.ready());
+    proxy.configure();
+    BOOST_TEST(proxy.host.ready());
+    proxy.host.announce_stop();
+    BOOST_TEST(!proxy.host.ready());
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 0));
+}
+
 BOOST_AUTO_TEST_CASE(planned_stop_closes_session_after_next_reply) {
     proxy_in_memory proxy;
     caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
