Read floor: the samples of a new primary may be lower than its predecessor's

Callers saw: after a promotion that rolled back commits, every read of the service waited for its target latency (at most 120 ms) and then ran on the primary, until the next commit, while the replicas were up to date. The platform lets this happen at any crash of a primary.

Until its first commit, a new primary reports the end of its log, of the previous term. After a rollback that is below the newest sample, and read_floor::add() drops it. Once the older samples exceed the bound of the route, there is no floor at all.

Change: a sample that this proxy requested from the primary itself discards the earlier samples above it. The later and lower position is the stronger statement: a log that holds it holds every commit acknowledged before that is still valid. A position below one that the same server reported as the primary is not taken for a promotion (an older reply or a lost log), and samples of peers never lower the floor. A session whose own commit may be in the discarded part keeps that commit as its floor.

--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -262,6 +262,7 @@
     void note_opened(entry& at, const std::string& account);
     slot& add_slot(entry& at, std::unique_ptr<link> connection, const std::string& account);
     void evaluate_leadership(slot& held, const sql::reply& from);
+    void add_own_sample(const entry& from, const freshness_sample& sample);
     void note_leadership(entry& from, time_point asked_at, const std::optional<sql::log_position>& position);
     void adopt_primary(entry& from, time_point leadership_confirmed_at);
     void note_log_lost(entry& at, const sql::log_position& reported);
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -231,12 +231,24 @@
     }
 }
 
+/// Adds a freshness sample that this proxy requested from the primary itself.
+template <link_connector Connector>
+void service_pool<Connector>::add_own_sample(const entry& from, const freshness_sample& sample) {
+    // A position below one that the same server reported before is from an older reply, not from a promotion.
+    const auto highest = m_high_water_mark.highest_position_of(from.server.id);
+    if (!highest || *highest <= sample.position) {
+        m_read_floor.add_after_promotion(sample);
+    } else {
+        m_read_floor.add(sample);
+    }
+}
+
 /// Records a leadership confirmation requested at `asked_at`.
 template <link_connector Connector>
 void service_pool<Connector>::note_leadership(entry& from, time_point asked_at,
                                               const std::optional<sql::log_position>& position) {
     if (position) {
-        m_read_floor.add({asked_at, *position});
+        add_own_sample(from, {asked_at, *position});
     }
     if (from.retired || !from.refusal_backoff.accepts_confirmation(asked_at)) {
         return;
--- a/tests/unit/read_floor.cpp
+++ b/tests/unit/read_floor.cpp
@@ -50,6 +50,41 @@
     BOOST_TEST((floor.floor(start + 1100ms, 60ms, log_position{4, 600}) == log_position{5, 620}));
 }
 
+// Guards against a missing floor after a promotion that rolled back commits. The new primary reports the end of its
+// log, which is below the previous primary's, until its first commit.
+BOOST_AUTO_TEST_CASE(a_promotion_that_rolls_back_commits_lowers_the_floor) {
+    routing::read_floor floor;
+    floor.add(sample(0ms, {4, 600}));
+    floor.add(sample(1000ms, {4, 612}));
+    floor.add_after_promotion(sample(2000ms, {4, 610}));
+    BOOST_TEST((floor.floor(start + 2100ms, 500ms, std::nullopt) == log_position{4, 610}));
+    BOOST_TEST((floor.floor(start + 2100ms, 500ms, log_position{4, 605}) == log_position{4, 610}));
+    // The session's commit may have been kept, as far as the proxy knows.
+    BOOST_TEST((floor.floor(start + 2100ms, 500ms, log_position{4, 612}) == log_position{4, 612}));
+    floor.add(sample(2200ms, {5, 611}));
+    floor.note_commit({5, 611});
+    BOOST_TEST((floor.floor(start + 2600ms, 500ms, log_position{4, 612}) == log_position{5, 611}));
+    // A late reply of the previous primary.
+    floor.add_after_promotion(sample(1500ms, {4, 612}));
+    BOOST_TEST((floor.newest()->position == log_position{5, 611}));
+}
+
+// Guards against a stale read or a missing floor after two promotions in a row, of which the second rolls back the only
+// commit of the first one's term.
+BOOST_AUTO_TEST_CASE(the_floor_follows_two_promotions_in_a_row) {
+    routing::read_floor floor;
+    floor.add(sample(0ms, {4, 612}));
+    floor.add(sample(1000ms, {5, 613}));
+    floor.note_commit({5, 613});
+    floor.add_after_promotion(sample(2000ms, {4, 612}));
+    BOOST_TEST((floor.floor(start + 2100ms, 500ms, std::nullopt) == log_position{4, 612}));
+    BOOST_TEST((floor.floor(start + 2100ms, 500ms, log_position{5, 613}) == log_position{5, 613}));
+    floor.add(sample(2200ms, {6, 613}));
+    floor.note_commit({6, 613});
+    BOOST_TEST((floor.floor(start + 2300ms, 500ms, log_position{6, 613}) == log_position{6, 613}));
+    BOOST_TEST((floor.floor(start + 2600ms, 500ms, log_position{5, 613}) == log_position{6, 613}));
+}
+
 // Guards against reads beyond their freshness bound while no proxy reaches the
 // primary: it is unknown how far replicas are behind.
 BOOST_AUTO_TEST_CASE(without_a_recent_sample_there_is_no_floor) {
--- a/tests/unit/reads_after_promotion.cpp
+++ b/tests/unit/reads_after_promotion.cpp
@@ -42,6 +42,28 @@
     }
 };
 
+/// A proxy whose primary `p` has reported 4.612. `promote` replaces it by `r1`, whose log ends at 4.610.
+struct proxy_before_lossy_promotion : proxy_in_memory {
+    decltype(host.pool_for("stock")) pool{host.pool_for("stock")};
+
+    proxy_before_lossy_promotion() {
+        auto config = three_databases(2);
+        config.routes.at("fresh").max_staleness = 300ms;
+        host.update(config);
+        server("p").position = {4, 612};
+        server("r1").position = server("r2").position = {4, 610};
+        caller_script before{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+        play({&before});
+    }
+
+    void promote() {
+        server("p").is_primary = false;
+        server("p").position = {4, 610};
+        server("r1").is_primary = true;
+        pool.accept_peer_confirmation("r1", boot_clock::now());
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(reads_after_promotion)
@@ -67,4 +89,17 @@
     BOOST_TEST(proxy.server("p").of("r").size() == 1U);
 }
 
+// Guards against reads that all wait for a sample and then go to the primary, until the next commit, after a promotion
+// that rolled back commits: the new primary's position was taken for an outdated one.
+BOOST_AUTO_TEST_CASE(replicas_serve_reads_after_a_promotion_that_rolled_back_commits) {
+    proxy_before_lossy_promotion proxy;
+    proxy.promote();
+    run_for(proxy, 500ms);
+    caller_script caller{.events = {opening("fresh"), request("r", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
+    BOOST_TEST(caller.answers.back().ok());
+    BOOST_TEST(proxy.server("r1").of("r").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
