Soak: rounds with primaries replaced in series; the emulator reports log positions

The platform's page says "the position is TERM.NUMBER of the instance's log", so a new primary is at a position of the previous term until its first commit, and only such samples lead to the fault. Further, all statements took the same time (a read that is sent during a write never ended before it), and callers paused after writes.

Change: READY and STATUS report the last entry applied or received; statements take a quarter to seven quarters of their mean time; a caller reads at once after a single write. New rounds (--replaced): the primary of a service is drained four times in a row, or crashes after its replicas have stopped to receive, with slow statements and late replicas, while 16 more sessions read their own writes.

The comment in read_floor.cpp names both kinds of report; the floor stands either.

--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -104,12 +104,13 @@
     return at.term < m_samples.back().position.term && at.number > m_term_start;
 }
 
-// Any sample that is recent enough is sufficient, but logs must hold an entry at its position. The first position of a
-// new primary combines the new term with the number of the last entry of an older term, and no log holds that position
-// until the next commit. If that position were the read floor, replicas that are up to date would refuse all reads for
-// 2.5 s after a promotion, and the primary would have to serve these reads. A position of the older term remains valid,
-// because a log that holds this position holds everything acknowledged before. Since a position of the older term may
-// have been rolled back, a position of the new term replaces it as soon as replicas have applied the new one.
+// Any sample that is recent enough is sufficient, but logs must hold an entry at its position. Until its first commit,
+// a new primary may report the position of its last entry, or its own term with the number of that entry, which is of
+// an older term. No log holds the second kind of position. If that were the read floor, replicas that are up to date
+// would refuse all reads for 2.5 s after a promotion, and the primary would have to serve these reads. A position of
+// the older term remains valid, because a log that holds this position holds everything acknowledged before. Since a
+// position of the older term may have been rolled back, a position of the new term replaces it as soon as replicas have
+// applied the new one.
 sql::log_position read_floor::lowest_sufficient(std::size_t oldest, time_point now) const {
     const auto& first = m_samples[oldest];
     if (entry_known(first)) {
--- a/tests/emulator/control_statements.cpp
+++ b/tests/emulator/control_statements.cpp
@@ -14,7 +14,7 @@
     const auto count = applied();
     const auto behind = count == m_log.size() ? 0 : to_ms(boot_clock::now() - m_log[count].received_at);
     return "ROW " + std::string{is_primary() ? "primary" : "replica"} + " " + std::to_string(m_term) + " " +
-           std::to_string(m_term) + "." + std::to_string(m_log.size()) + " 0 " + std::to_string(behind) + " " +
+           sql::to_string(position_of(m_log.size())) + " 0 " + std::to_string(behind) + " " +
            std::to_string(m_slots.busy()) + " " + std::to_string(m_sessions.size()) + "\r\n";
 }
 
--- a/tests/emulator/replicated_service.cpp
+++ b/tests/emulator/replicated_service.cpp
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto statement_delay = 2ms;
+constexpr auto unlimited_statement_time = 4ms;
 
 /// Where the server itself listens, behind its forwarder.
 tcp::endpoint server_endpoint(const tcp::endpoint& address) {
@@ -105,7 +105,7 @@
                 line->starts_with("STARTUP " + m_service.name() + " ") && line->ends_with(" " + m_id);
             connection.write(!for_this_server ? "ERROR MISROUTED -\r\n"
                              : at_capacity    ? "ERROR TOOMANY -\r\n"
-                                              : "READY I 1.0\r\n");
+                                              : ready_line(client));
             if (!for_this_server || at_capacity) {
                 break;
             }
@@ -139,14 +139,14 @@
     const bool takes_slot = !control || line.ends_with(" STATUS") || line.contains(" STEPDOWN ");
     if (!m_slots.limited()) {
         if (!control) {
-            co_await sleep_for(statement_delay);
+            co_await sleep_for(m_service.vary(unlimited_statement_time));
         }
         co_return true;
     }
     if (!takes_slot) {
         co_return true;
     }
-    const auto done_at = m_slots.take(boot_clock::now());
+    const auto done_at = m_slots.take(boot_clock::now(), m_service.vary(m_slots.work()));
     if (!done_at) {
         co_return false;
     }
@@ -164,13 +164,16 @@
     return static_cast<std::size_t>(first_unapplied - m_log.begin());
 }
 
+sql::log_position emulated_server::position_of(std::size_t count) const {
+    return {count == 0 ? 0 : m_log[count - 1].term, count};
+}
+
 bool emulated_server::has_applied(sql::log_position at) const {
     return at.number == 0 || (at.number <= applied() && m_log[at.number - 1].term == at.term);
 }
 
 std::string emulated_server::ready_line(const session& client) const {
-    return std::string{"READY "} + client.state + " " + std::to_string(m_term) + "." + std::to_string(applied()) +
-           "\r\n";
+    return std::string{"READY "} + client.state + " " + sql::to_string(position_of(applied())) + "\r\n";
 }
 
 std::string emulated_server::error_reply(session& client, std::string_view code) {
--- a/tests/emulator/replicated_service.hpp
+++ b/tests/emulator/replicated_service.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -100,6 +101,9 @@
     std::string error_reply(session& client, std::string_view code);
     [[nodiscard]] std::string ready_line(const session& client) const;
     [[nodiscard]] std::size_t applied() const;
+    /// The position of the log's first `count` entries: the term and the number of the last one, or 0.0 if there is
+    /// none. A new primary is therefore at a position of an earlier term until its first commit.
+    [[nodiscard]] sql::log_position position_of(std::size_t count) const;
     [[nodiscard]] bool has_applied(sql::log_position at) const;
 
     asio::io_context& m_io;
@@ -145,6 +149,13 @@
     /// Appends a commit to the log of the server `at`, from where it is replicated.
     void commit(emulated_server& at, std::vector<std::string> writes);
 
+    /// Returns a random time from a quarter of `mean` to seven quarters, so that statements end in another order than
+    /// they began.
+    [[nodiscard]] std::chrono::milliseconds vary(std::chrono::milliseconds mean) {
+        std::uniform_int_distribution<std::int64_t> out{mean.count() / 4, mean.count() * 7 / 4};
+        return std::chrono::milliseconds{out(m_random)};
+    }
+
     /// A fault that may cost commits, such as a crash or a partition, occurred.
     void record_hard_fault() { m_last_hard_fault_at = boot_clock::now(); }
 
@@ -161,6 +172,7 @@
     asio::io_context& m_io;
     consistency_checker& m_checker;
     std::string m_name;
+    std::mt19937_64 m_random;
     std::vector<std::unique_ptr<emulated_server>> m_servers;
     emulated_server* m_primary{nullptr};
     std::uint64_t m_term{1};
--- a/tests/emulator/statement_slots.hpp
+++ b/tests/emulator/statement_slots.hpp
@@ -15,7 +15,8 @@
 public:
     using time_point = boot_clock::time_point;
 
-    /// Each statement occupies one of `slots` for `work`; at most `queue` statements wait. No slots mean no limit.
+    /// Each statement occupies one of `slots` for `work` on average; at most `queue` statements wait. No slots mean no
+    /// limit.
     void limit(std::size_t slots, std::size_t queue, std::chrono::milliseconds work) {
         m_free_at.assign(slots, {});
         m_queue = queue;
@@ -26,14 +27,17 @@
     /// Number of slots in use.
     [[nodiscard]] std::size_t busy() const noexcept { return std::min(m_accepted, m_free_at.size()); }
 
-    /// Returns when the statement is done, or nothing if the queue is full.
-    [[nodiscard]] std::optional<time_point> take(time_point now) {
+    /// The average time of a statement.
+    [[nodiscard]] std::chrono::milliseconds work() const noexcept { return m_work; }
+
+    /// Returns when a statement that takes `work` is done, or nothing if the queue is full.
+    [[nodiscard]] std::optional<time_point> take(time_point now, std::chrono::milliseconds work) {
         if (m_accepted >= m_free_at.size() + m_queue) {
             return std::nullopt;
         }
         ++m_accepted;
         auto& earliest = *std::ranges::min_element(m_free_at);
-        earliest = std::max(earliest, now) + m_work;
+        earliest = std::max(earliest, now) + work;
         return earliest;
     }
 
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -183,8 +183,18 @@
 }
 
 asio::awaitable<bool> caller::run_autocommit() {
+    const bool write = random_below(4) == 0;
+    const bool replied = co_await execute_autocommit(write);
+    if (!replied || !write) {
+        co_return replied;
+    }
+    // Reads its own write without a pause, before replicas have applied it.
+    co_return co_await execute_autocommit(false);
+}
+
+asio::awaitable<bool> caller::execute_autocommit(bool write) {
     std::string prepared;
-    auto text = statement(random_below(4) == 0, prepared);
+    auto text = statement(write, prepared);
     const auto result = co_await execute(std::move(text), prepared);
     if (result.replied && result.reply.state != sql::transaction_state::idle) {
         m_checker.report_violation("transaction state",
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -47,6 +47,7 @@
     asio::awaitable<bool> prepare_session();
     asio::awaitable<bool> run_operation();
     asio::awaitable<bool> run_autocommit();
+    asio::awaitable<bool> execute_autocommit(bool write);
     asio::awaitable<bool> run_transaction();
     asio::awaitable<bool> end_transaction(const std::vector<std::string>& writes);
     std::string statement(bool write, std::string& prepared);
--- a/tests/soak/load_phases.cpp
+++ b/tests/soak/load_phases.cpp
@@ -6,8 +6,9 @@
 
 #include "scenario.hpp"
 
-// Rounds in which a primary cannot serve its callers although it replies to control statements: because its replicas
-// are so far behind that it serves all reads, or because it breaks every statement.
+// Rounds in which a primary cannot serve its callers although it replies to control statements, because its replicas
+// are so far behind that it serves all reads, or because it breaks every statement; and rounds in which primaries are
+// replaced while their statements take long.
 
 namespace cornellever::soak {
 
@@ -146,4 +147,70 @@
     }
 }
 
+/// Drains the primary, or crashes it after its replicas have stopped to receive its commits.
+void scenario::replace_primary(replicated_service& service, bool loses_commits) {
+    const auto draw = [this](std::uint64_t limit) { return m_replacement_random() % limit; };
+    auto& primary = service.primary();
+    if (primary.draining || !primary.running()) {
+        return;
+    }
+    if (!loses_commits) {
+        inject("primary drained", {primary.id(), {}});
+        return;
+    }
+    const auto unreplicated = 50 + draw(250);
+    for (const auto& server : service.servers()) {
+        if (server.get() != &primary) {
+            inject("replication stopped", {server->id(), {unreplicated + 100}});
+        }
+    }
+    const auto downtime = 500 + draw(2000);
+    schedule_fault(std::chrono::milliseconds{unreplicated}, "primary crash", {primary.id(), {downtime}});
+}
+
+/// Starts callers that only use the service's database whose sessions read their own writes, until `stop` is set.
+std::vector<std::unique_ptr<caller>> scenario::start_readers_of_own_writes(const replicated_service& service,
+                                                                           const bool& stop) {
+    constexpr std::size_t count = 16;
+    std::vector<database> own;
+    std::ranges::copy_if(m_databases, std::back_inserter(own), [&](const database& item) {
+        return item.service == service.name() && item.reads == freshness::own_writes;
+    });
+    std::vector<std::unique_ptr<caller>> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.push_back(std::make_unique<caller>(
+            m_checker, own, [this] { return pick_proxy(); },
+            [this](const tcp::endpoint& proxy, const request& issued) { check_disconnect(proxy, issued); },
+            m_replacement_random()));
+        asio::co_spawn(m_io, out.back()->run(stop), asio::detached);
+    }
+    return out;
+}
+
+/// The primary of a service is replaced several times in a row while its first commits take long and its replicas apply
+/// them late. In some rounds a promotion rolls back commits.
+asio::awaitable<void> scenario::run_replacement_phase() {
+    const auto draw = [this](std::uint64_t limit) { return m_replacement_random() % limit; };
+    constexpr std::uint64_t replacements = 4;
+    constexpr std::uint64_t longest_interval = 3500;
+    constexpr std::uint64_t length = replacements * longest_interval;
+    for (int round = 0; round < m_settings.replacement_rounds; ++round) {
+        auto& service = *m_services[draw(m_services.size())];
+        bool stop_readers = false;
+        const auto readers = start_readers_of_own_writes(service, stop_readers);
+        inject("slots limited", {service.name(), {2 + draw(6), length}});
+        for (const auto& server : service.servers()) {
+            inject("server falls behind", {server->id(), {20 + draw(130), length}});
+        }
+        const bool loses_commits = draw(3) == 0;
+        for (std::uint64_t i = 0; i < replacements; ++i) {
+            replace_primary(service, loses_commits && draw(2) == 0);
+            co_await sleep_for(std::chrono::milliseconds{1500 + draw(longest_interval - 1500)});
+        }
+        stop_readers = true;
+        // Their last requests end within the callers' timeout.
+        co_await sleep_for(5s);
+    }
+}
+
 } // namespace cornellever::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,6 +56,9 @@
         "number", command_line};
     TCLAP::ValueArg<int> breakages{"",       "broken",    "rounds in which a primary breaks every statement", false, 0,
                                    "number", command_line};
+    TCLAP::ValueArg<int> replacements{
+        "",       "replaced",  "rounds in which the primary of a service is replaced in series", false, 0,
+        "number", command_line};
     TCLAP::ValueArg<std::string> replay{
         "", "replay", "file of faults to inject instead of drawing them", false, "", "path", command_line};
     TCLAP::ValueArg<std::size_t> proxies{"", "proxies", "proxy processes", false, 5, "number", command_line};
@@ -75,6 +78,7 @@
                                       .isolation_rounds = isolations.getValue(),
                                       .overload_rounds = overloads.getValue(),
                                       .broken_rounds = breakages.getValue(),
+                                      .replacement_rounds = replacements.getValue(),
                                       .replay = replay.getValue(),
                                       .proxies = proxies.getValue(),
                                       .callers = callers.getValue()});
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -51,6 +51,7 @@
     , m_isolation_random{m_settings.seed ^ 0x69736f6cU}
     , m_overload_random{m_settings.seed ^ 0x6f766572U}
     , m_broken_random{m_settings.seed ^ 0x62726f6bU}
+    , m_replacement_random{m_settings.seed ^ 0x7265706cU}
     , m_fault_file{m_settings.folder / "faults.txt"} {
     if (!m_settings.replay.empty()) {
         m_replayed = read_faults(m_settings.replay);
@@ -542,6 +543,7 @@
         co_await run_isolation_phase();
         co_await run_overload_phase();
         co_await run_broken_phase();
+        co_await run_replacement_phase();
     } else {
         co_await run_replay(m_replayed);
     }
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -37,6 +37,8 @@
     int overload_rounds{0};
     /// Rounds in which a primary breaks every statement of callers.
     int broken_rounds{0};
+    /// Rounds in which the primary of a service is replaced again and again while statements take long.
+    int replacement_rounds{0};
     /// File of faults to inject instead of drawing them.
     std::filesystem::path replay;
     std::size_t proxies{5};
@@ -79,6 +81,10 @@
     asio::awaitable<void> run_isolation_phase();
     asio::awaitable<void> run_overload_phase();
     asio::awaitable<void> run_broken_phase();
+    asio::awaitable<void> run_replacement_phase();
+    std::vector<std::unique_ptr<caller>> start_readers_of_own_writes(const replicated_service& service,
+                                                                     const bool& stop);
+    void replace_primary(replicated_service& service, bool loses_commits);
     asio::awaitable<void> run_replay(std::vector<fault_record> faults);
     void restore_store(std::chrono::milliseconds age);
     asio::awaitable<void> recover();
@@ -134,6 +140,7 @@
     std::mt19937_64 m_isolation_random;
     std::mt19937_64 m_overload_random;
     std::mt19937_64 m_broken_random;
+    std::mt19937_64 m_replacement_random;
     std::ofstream m_fault_file;
     /// The faults of the file that this run replays; empty if it draws its own.
     std::vector<fault_record> m_replayed;
