--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -268,6 +268,7 @@
     void note_log_lost(entry& at, const sql::log_position& reported);
     void drop_primary(const std::string& id);
     void roll_back_primed(entry& at);
+    [[nodiscard]] static std::vector<sql::command> begin_batch(slot& held);
     static void forget_empty_log(entry& at);
     [[nodiscard]] bool lacks_commits(const entry& at, const sql::log_position& reported, time_point asked_at) const;
     [[nodiscard]] bool is_log_unproven(const slot& held, const sql::log_position& reported);
--- a/src/cornellever/routing/service_pool_primary.ipp
+++ b/src/cornellever/routing/service_pool_primary.ipp
@@ -4,15 +4,23 @@
 
 namespace cornellever::routing {
 
+/// Returns the beginning of a batch of this pool's own statements, which ends the transaction that was opened on the
+/// connection ahead of use.
+template <link_connector Connector>
+std::vector<sql::command> service_pool<Connector>::begin_batch(slot& held) {
+    std::vector<sql::command> out;
+    if (std::exchange(held.primed, false)) {
+        out.push_back(sql::proxy_command(sql::statement_kind::rollback));
+    }
+    return out;
+}
+
 template <link_connector Connector>
 asio::awaitable<bool> service_pool<Connector>::confirm_leadership(slot& held, time_point until) {
     if (held.server_entry->needs_new_proof(held)) {
         co_await renew_empty_log_proof(held, until);
     }
-    std::vector<sql::command> batch;
-    if (std::exchange(held.primed, false)) {
-        batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
-    }
+    auto batch = begin_batch(held);
     const auto reply_index = batch.size();
     batch.push_back(sql::proxy_command(sql::statement_kind::begin));
     held.sent_at = boot_clock::now();
@@ -118,10 +126,7 @@
         held = &add_slot(at, std::move(*opened), {});
     }
     held->busy = true;
-    std::vector<sql::command> batch;
-    if (std::exchange(held->primed, false)) {
-        batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
-    }
+    auto batch = begin_batch(*held);
     batch.push_back(std::move(command));
     const auto reply_index = batch.size() - 1;
     held->sent_at = boot_clock::now();
@@ -220,10 +225,7 @@
 /// suffices for that and takes no execution slot on the replica.
 template <link_connector Connector>
 asio::awaitable<void> service_pool<Connector>::query_position(slot& held) {
-    std::vector<sql::command> batch;
-    if (std::exchange(held.primed, false)) {
-        batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
-    }
+    auto batch = begin_batch(held);
     batch.push_back(sql::proxy_command(sql::statement_kind::begin_read_only));
     const auto reply_index = batch.size();
     batch.push_back(sql::proxy_command(sql::statement_kind::rollback));
