Relay: a session with too many values for a peer is not relayed

Callers would see: statements that run without some of their session's values or with an unknown prepared statement, without an error, after the session moved to another connection owner.

Change: max_pending is part of the concept relayed_session. A session with as many statements to replay is not relayed; its statements run on this proxy's own connections. A replayed statement that cannot be sent closes the session at the peer, as elsewhere.

Test: unit sessions (session_with_too_many_values_for_a_peer_runs_with_all_of_them) failed before for as many and for one more than the limit.

--- a/src/cornellever/session/relay.hpp
+++ b/src/cornellever/session/relay.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,8 +27,10 @@
     /// earlier pipelined request.
     { peer.run_request(request, until) } -> std::same_as<asio::awaitable<routing::link_reply>>;
     /// Sends a request that this proxy has already answered, and does not wait for the peer's reply. The next
-    /// `run_request` checks that the peer accepted the request. Returns false if nothing was sent.
+    /// `run_request` checks that the peer accepted the request. Returns false if nothing was sent, which is the case
+    /// while `max_pending` requests have no reply.
     { peer.pipeline(request) } -> std::same_as<bool>;
+    { T::max_pending } -> std::convertible_to<std::size_t>;
     { peer.open() } -> std::same_as<bool>;
     {peer.close()};
 };
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -61,12 +61,19 @@
 }
 
 /// Opens a session at one of the candidate peers, unless a session is already open at a peer, and replays the values
-/// and prepared statements in the new session. Returns false if no attempt succeeded.
+/// and prepared statements in the new session. Returns false if no attempt succeeded, or if there are too many of them
+/// to be replayed and followed by a BEGIN.
 template <routing::link_connector Connector>
 asio::awaitable<bool> traffic<Connector>::open_at_peer(active_session& active) {
     if (active.at_peer.open()) {
         co_return true;
     }
+    const auto replayed = replay_statements(active.state);
+    if (replayed.size() >= Connector::relay::max_pending) {
+        log_event(event::connect_failed, "database=" + active.state.database +
+                                             " reason=session_too_large statements=" + std::to_string(replayed.size()));
+        co_return false;
+    }
     const auto to = candidate_peers(active);
     for (const auto& peer : std::span{to}.first(std::min(to.size(), max_peer_attempts))) {
         const session_opening opening{.database = active.state.database,
@@ -79,8 +86,8 @@
             active.at_peer.session = std::move(opened);
             active.at_peer.peer_name = peer.name;
             active.at_peer.opened_at = boot_clock::now();
-            for (auto& item : replay_statements(active.state)) {
-                (void)active.at_peer.session->pipeline({std::string{replay_request_id}, std::move(item)});
+            for (const auto& item : replayed) {
+                pipeline(active.at_peer, {std::string{replay_request_id}, item});
             }
             co_return true;
         }
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -237,6 +237,8 @@
 /// A session at a fake owner (models session::relayed_session).
 class fake_relay {
 public:
+    static constexpr std::size_t max_pending = 64;
+
     explicit fake_relay(fake_owner& owner) : m_owner{owner} {}
 
     asio::awaitable<routing::link_reply> run_request(const sql::request& request, boot_clock::time_point) {
@@ -259,6 +261,9 @@
         co_return out;
     }
     bool pipeline(const sql::request& request) {
+        if (m_pending >= max_pending) {
+            return false;
+        }
         m_owner.asked.push_back(request.id);
         m_state = request.what.kind == sql::statement_kind::begin ? sql::transaction_state::open : m_state;
         ++m_pending;
@@ -269,7 +274,7 @@
 
 private:
     fake_owner& m_owner;
-    int m_pending{0};
+    std::size_t m_pending{0};
     sql::transaction_state m_state{sql::transaction_state::idle};
     bool m_open{true};
 };
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -493,6 +493,27 @@
     BOOST_TEST((proxy.owners[1]->opened_after.front() == sql::log_position{3, 78}));
 }
 
+// Guards against statements that run without some of their session's values: more of them than a peer is sent at once
+// were replayed in part.
+BOOST_AUTO_TEST_CASE(session_with_too_many_values_for_a_peer_runs_with_all_of_them) {
+    for (const auto count : {fake_relay::max_pending - 1, fake_relay::max_pending, fake_relay::max_pending + 1}) {
+        relaying_proxy proxy;
+        caller_script caller{.events = {opening("strict")}};
+        for (std::size_t i = 0; i < count; ++i) {
+            caller.events.push_back(request("s", statement_kind::set, "1", "v" + std::to_string(i)));
+        }
+        caller.events.push_back(request("b", statement_kind::begin));
+        caller.events.push_back(request("r", statement_kind::read, "1"));
+        proxy.play({&caller});
+        BOOST_TEST(ok(caller, count + 1));
+        const auto local = proxy.server("p").of("r");
+        const bool relayed = count < fake_relay::max_pending;
+        BOOST_TEST(proxy.owner->asked.size() == (relayed ? count + 2 : 0U));
+        BOOST_TEST_REQUIRE(local.size() == (relayed ? 0U : 1U));
+        BOOST_TEST((relayed || local.back().values.size() == count));
+    }
+}
+
 // Guards against refusals (one request in thirty) long after a partition has
 // ended: proxies that had executed operations while the owners were unreachable
 // kept their connections, and the servers' connection limits were exhausted.
