--- a/src/cornellever/routing/read_floor.cpp
+++ b/src/cornellever/routing/read_floor.cpp
@@ -35,7 +35,7 @@
     if (m_samples.empty()) {
         // When the proxy has just started, it does not know when the term began and assumes that the term began long
         // ago.
-        assume_long_term(sample.position.number);
+        assume_entries_from(sample.position.number);
     } else if (m_samples.back().position.term < sample.position.term) {
         m_term_start = sample.position.number;
         m_first_entry.reset();
@@ -49,22 +49,24 @@
 }
 
 void read_floor::add_after_promotion(const freshness_sample& sample) {
-    const auto rolled_back_sample = [&](const auto& item) {
+    // The new primary's log ended at the sample's position, so a log that holds this position holds every commit that
+    // was acknowledged earlier and not rolled back.
+    const auto superseded = [&](const auto& item) {
         return item.asked_at < sample.asked_at && item.position > sample.position;
     };
     const auto term = m_samples.empty() ? 0 : m_samples.back().position.term;
-    while (!m_samples.empty() && rolled_back_sample(m_samples.back())) {
+    while (!m_samples.empty() && superseded(m_samples.back())) {
         m_samples.pop_back();
     }
     if (!m_samples.empty() && m_samples.back().position.term != term) {
         const auto first =
             std::ranges::find_if(m_samples, [&](const auto& item) { return in_current_term(item.position); });
-        assume_long_term(first->position.number);
+        assume_entries_from(first->position.number);
     }
     add(sample);
 }
 
-void read_floor::assume_long_term(std::uint64_t number) {
+void read_floor::assume_entries_from(std::uint64_t number) {
     m_term_start = number;
     m_first_entry = number;
 }
--- a/src/cornellever/routing/read_floor.hpp
+++ b/src/cornellever/routing/read_floor.hpp
@@ -28,8 +28,8 @@
     /// later.
     void add(const freshness_sample& sample);
 
-    /// Adds a sample of a primary that may have been promoted since the newest sample. Earlier samples above its
-    /// position are discarded, because the promotion rolled back the commits above that position.
+    /// Adds a sample of a primary that may have been promoted since the newest sample was requested. Earlier samples
+    /// above its position are discarded, because the promotion rolled back the commits above that position.
     void add_after_promotion(const freshness_sample& sample);
 
     /// Records that a commit was acknowledged at this position. Logs therefore hold an entry with its number and term.
@@ -58,9 +58,8 @@
     [[nodiscard]] std::deque<freshness_sample>::const_iterator first_known(std::size_t first) const;
     [[nodiscard]] bool rolled_back(const sql::log_position& at) const;
     [[nodiscard]] sql::log_position lowest_sufficient(std::size_t oldest, time_point now) const;
-    /// Records that the current term's log entries are known to exist from number `number` on, as its beginning is not
-    /// known.
-    void assume_long_term(std::uint64_t number);
+    /// Assumes that the current term, whose beginning is not known, has log entries from `number` on.
+    void assume_entries_from(std::uint64_t number);
 
     std::deque<freshness_sample> m_samples;
     /// The log number of the first sample of the current term.
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -234,7 +234,7 @@
 /// Adds a freshness sample that this proxy requested from the primary itself.
 template <link_connector Connector>
 void service_pool<Connector>::add_own_sample(const entry& from, const freshness_sample& sample) {
-    // A position below one that the same server reported before is from an older reply, not from a promotion.
+    // A position below an earlier one of the same server comes from a delayed reply, not from a promotion.
     const auto highest = m_high_water_mark.highest_position_of(from.server.id);
     if (!highest || *highest <= sample.position) {
         m_read_floor.add_after_promotion(sample);
