Soak: the readers of own writes run until the callers stop

They were destroyed at the end of each round, while the consistency checker still refers to their databases. They are callers like the others now, started once for both services.

--- a/tests/soak/load_phases.cpp
+++ b/tests/soak/load_phases.cpp
@@ -147,7 +147,7 @@
     }
 }
 
-/// Drains the primary, or crashes it after its replicas have stopped to receive its commits.
+/// Drains the primary, or crashes it after its replicas have stopped receiving its commits.
 void scenario::replace_primary(replicated_service& service, bool loses_commits) {
     const auto draw = [this](std::uint64_t limit) { return m_replacement_random() % limit; };
     auto& primary = service.primary();
@@ -168,23 +168,14 @@
     schedule_fault(std::chrono::milliseconds{unreplicated}, "primary crash", {primary.id(), {downtime}});
 }
 
-/// Starts callers that only use the service's database whose sessions read their own writes, until `stop` is set.
-std::vector<std::unique_ptr<caller>> scenario::start_readers_of_own_writes(const replicated_service& service,
-                                                                           const bool& stop) {
+/// Starts further callers of the databases whose sessions read their own writes.
+void scenario::start_readers_of_own_writes() {
     constexpr std::size_t count = 16;
-    std::vector<database> own;
-    std::ranges::copy_if(m_databases, std::back_inserter(own), [&](const database& item) {
-        return item.service == service.name() && item.reads == freshness::own_writes;
-    });
-    std::vector<std::unique_ptr<caller>> out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out.push_back(std::make_unique<caller>(
-            m_checker, own, [this] { return pick_proxy(); },
-            [this](const tcp::endpoint& proxy, const request& issued) { check_disconnect(proxy, issued); },
-            m_replacement_random()));
-        asio::co_spawn(m_io, out.back()->run(stop), asio::detached);
+    for (const auto& item : m_databases) {
+        for (std::size_t i = 0; item.reads == freshness::own_writes && i < count; ++i) {
+            start_caller({item}, m_replacement_random());
+        }
     }
-    return out;
 }
 
 /// The primary of a service is replaced several times in a row while its first commits take long and its replicas apply
@@ -194,10 +185,11 @@
     constexpr std::uint64_t replacements = 4;
     constexpr std::uint64_t longest_interval = 3500;
     constexpr std::uint64_t length = replacements * longest_interval;
+    if (m_settings.replacement_rounds > 0) {
+        start_readers_of_own_writes();
+    }
     for (int round = 0; round < m_settings.replacement_rounds; ++round) {
         auto& service = *m_services[draw(m_services.size())];
-        bool stop_readers = false;
-        const auto readers = start_readers_of_own_writes(service, stop_readers);
         inject("slots limited", {service.name(), {2 + draw(6), length}});
         for (const auto& server : service.servers()) {
             inject("server falls behind", {server->id(), {20 + draw(130), length}});
@@ -207,9 +199,6 @@
             replace_primary(service, loses_commits && draw(2) == 0);
             co_await sleep_for(std::chrono::milliseconds{1500 + draw(longest_interval - 1500)});
         }
-        stop_readers = true;
-        // Their last requests end within the callers' timeout.
-        co_await sleep_for(5s);
     }
 }
 
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -514,6 +514,13 @@
     }
 }
 
+void scenario::start_caller(std::vector<database> databases, std::uint64_t seed) {
+    m_callers.push_back(std::make_unique<caller>(
+        m_checker, std::move(databases), [this] { return pick_proxy(); },
+        [this](const tcp::endpoint& proxy, const request& issued) { check_disconnect(proxy, issued); }, seed));
+    asio::co_spawn(m_io, m_callers.back()->run(m_stop_callers), asio::detached);
+}
+
 asio::awaitable<std::size_t> scenario::run() {
     publish_configuration();
     for (auto& service : m_services) {
@@ -529,11 +536,7 @@
     co_await sleep_for(2500ms);
     m_callers_started_at = boot_clock::now();
     for (std::size_t i = 0; i < m_settings.callers; ++i) {
-        m_callers.push_back(std::make_unique<caller>(
-            m_checker, m_databases, [this] { return pick_proxy(); },
-            [this](const tcp::endpoint& proxy, const request& issued) { check_disconnect(proxy, issued); },
-            m_random()));
-        asio::co_spawn(m_io, m_callers.back()->run(m_stop_callers), asio::detached);
+        start_caller(m_databases, m_random());
     }
     if (m_replayed.empty()) {
         co_await run_fault_phase(m_settings.planned, true);
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -37,7 +37,7 @@
     int overload_rounds{0};
     /// Rounds in which a primary breaks every statement of callers.
     int broken_rounds{0};
-    /// Rounds in which the primary of a service is replaced again and again while statements take long.
+    /// Rounds in which the primary of a service is replaced in series while sessions read their own writes.
     int replacement_rounds{0};
     /// File of faults to inject instead of drawing them.
     std::filesystem::path replay;
@@ -82,8 +82,8 @@
     asio::awaitable<void> run_overload_phase();
     asio::awaitable<void> run_broken_phase();
     asio::awaitable<void> run_replacement_phase();
-    std::vector<std::unique_ptr<caller>> start_readers_of_own_writes(const replicated_service& service,
-                                                                     const bool& stop);
+    void start_caller(std::vector<database> databases, std::uint64_t seed);
+    void start_readers_of_own_writes();
     void replace_primary(replicated_service& service, bool loses_commits);
     asio::awaitable<void> run_replay(std::vector<fault_record> faults);
     void restore_store(std::chrono::milliseconds age);
