Tests: one run_for lets a proxy in memory do its periodic work

path_cut, sessions and primed_connections each had their own loop of "tick, sleep 20 ms, stop, run, restart", and reads_after_promotion of this work had written it again. It is a member of proxy_in_memory now, and the four use it. The checks are unchanged.

--- a/tests/unit/path_cut.cpp
+++ b/tests/unit/path_cut.cpp
@@ -24,22 +24,11 @@
 
     /// Runs for `span` while the primary is polled and does not answer.
     void wait_for(std::chrono::milliseconds span, bool peer_reaches_primary) {
-        asio::co_spawn(
-            io,
-            [&]() -> asio::awaitable<void> {
-                const auto begun = boot_clock::now();
-                while (boot_clock::now() - begun < span) {
-                    if (peer_reaches_primary) {
-                        host.record_primary_path("stock", peer, boot_clock::now());
-                    }
-                    host.tick();
-                    co_await sleep_for(20ms);
-                }
-                io.stop();
-            },
-            asio::detached);
-        io.run();
-        io.restart();
+        run_for(span, [&] {
+            if (peer_reaches_primary) {
+                host.record_primary_path("stock", peer, boot_clock::now());
+            }
+        });
     }
 
     std::vector<std::string>& asked_at_peer() { return connector.owners[2000].asked; }
--- a/tests/unit/primed_connections.cpp
+++ b/tests/unit/primed_connections.cpp
@@ -30,10 +30,7 @@
     /// Lets the pool poll the position of `p`, which lags.
     void poll_former_primary() {
         pool.entries().at("p")->progress.note({1, 10}, boot_clock::now() - 500ms, pool.floor());
-        later(0ms, [this] { host.tick(); });
-        later(20ms, [this] { io.stop(); });
-        io.run();
-        io.restart();
+        run_for(20ms);
     }
 
     [[nodiscard]] std::size_t statements_outside_transactions(const std::string& id) {
--- a/tests/unit/proxy_in_memory.hpp
+++ b/tests/unit/proxy_in_memory.hpp
@@ -51,6 +51,25 @@
             asio::detached);
     }
 
+    /// Lets the proxy do its periodic work for `length`; `before_tick` runs each time before.
+    void run_for(
+        std::chrono::milliseconds length, std::function<void()> before_tick = [] {}) {
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                const auto begun = boot_clock::now();
+                while (boot_clock::now() - begun < length) {
+                    before_tick();
+                    host.tick();
+                    co_await sleep_for(std::chrono::milliseconds{20});
+                }
+                io.stop();
+            },
+            asio::detached);
+        io.run();
+        io.restart();
+    }
+
     fake_server& server(const std::string& id) { return connector.servers[id]; }
 
     /// Serves the scripted callers one after the other.
--- a/tests/unit/reads_after_promotion.cpp
+++ b/tests/unit/reads_after_promotion.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-/// Lets a proxy do its periodic work for `length`.
-void run_for(proxy_in_memory& proxy, std::chrono::milliseconds length) {
-    for (auto at = 0ms; at < length; at += 20ms) {
-        proxy.later(at, [&] { proxy.host.tick(); });
-    }
-    proxy.later(length, [&] { proxy.io.stop(); });
-    proxy.io.run();
-    proxy.io.restart();
-}
-
 /// A proxy near a replica. Its last sample is 4.612, and its primary has committed 5.613 since, which no replica has
 /// applied.
 struct proxy_of_previous_term : proxy_in_memory {
@@ -32,7 +22,7 @@
         }
         caller_script before{.events = {opening("fresh"), request("a", statement_kind::read, "1")}};
         play({&before});
-        run_for(*this, 100ms);
+        run_for(100ms);
         server("p").position = {5, 613};
     }
 
@@ -94,7 +84,7 @@
 BOOST_AUTO_TEST_CASE(replicas_serve_reads_after_a_promotion_that_rolled_back_commits) {
     proxy_before_lossy_promotion proxy;
     proxy.promote();
-    run_for(proxy, 500ms);
+    proxy.run_for(500ms);
     caller_script caller{.events = {opening("fresh"), request("r", statement_kind::read, "1")}};
     proxy.play({&caller});
     BOOST_TEST_REQUIRE(caller.answers.size() == 1U);
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -531,18 +531,7 @@
         return out;
     };
     BOOST_TEST(held() > 0U);
-    asio::co_spawn(
-        proxy.io,
-        [&]() -> asio::awaitable<void> {
-            for (int i = 0; i < 65; ++i) {
-                proxy.host.tick();
-                co_await sleep_for(20ms);
-            }
-            proxy.io.stop();
-        },
-        asio::detached);
-    proxy.io.run();
-    proxy.io.restart();
+    proxy.run_for(1300ms);
     BOOST_TEST(held() == 0U);
     BOOST_TEST(!proxy.host.pool_for("stock").used());
 }
