Review: each run.sh names the record that it writes

The shared script wrote record.txt before as well (checked: each record was removed and written anew by its script); now the path stands in run.sh, and a run for which nothing is built leaves a record that says so.

--- a/review/stand_ins_2/run_case.sh
+++ b/review/stand_ins_2/run_case.sh
@@ -1,15 +1,14 @@
 # Runs one case: starts the stand-ins and the proxies, waits for the result and ends all of them. Sourced by run.sh with
-# the name of the stand-in program, and the number of proxies (7 as on the small deployments).
+# the name of the stand-in program, the file for the record, and the number of proxies (7 as on the small deployments).
 # Results: 0 the rule held, 1 it was broken, 2 the case could not run.
 run_case() {
-    local program=$1 proxies=${2:-7}
-    local record=$CASE_FOLDER/record.txt
+    local program=$1 record=$2 proxies=${3:-7}
     local prefix code=2
     scratch=$(mktemp -d)
     prefix=127.$((64 + RANDOM % 128)).$((1 + RANDOM % 250))
     pids=()
     if [[ ! -x target/cornellever || ! -x target/review-2/$program ]]; then
-        echo "not built: run the build of deploy/system.toml and review/build-2.sh" >&2
+        echo "could not run: not built by the build of deploy/system.toml and review/build-2.sh" | tee "$record" >&2
         return 2
     fi
     end_all() {
