--- a/review/stand_ins_2/route_back_stale.cpp
+++ b/review/stand_ins_2/route_back_stale.cpp
@@ -69,6 +69,13 @@
             }
         }
     };
+    // Commits that a promote rolled back don't count.
+    fleet.promoted = [&](instance& at) {
+        for (auto& item : clients) {
+            std::erase_if(item.commits,
+                          [&](const own_commit& own) { return own.service == at.of->name && !at.holds(own.id); });
+        }
+    };
     configure("stockbook");
     fleet.start();
     serve_platform(with, store, fleet);
@@ -80,7 +87,9 @@
         for (int count = 0; !stop; ++count) {
             sleep_ms(50);
             if (session.is_open() || session.open(with.proxy_ip(count % with.proxies), front_port, "reserve")) {
-                session.query("b-" + std::to_string(count), "WRITE 2c1 x");
+                const auto id = "b-" + std::to_string(count);
+                record("sent " + id + " WRITE");
+                record("answered " + id + " " + session.query(id, "WRITE 2c1 x").result);
             }
         }
     }};
