Failover: promote a synchronous replica only if its log is proven complete

Cause: no decision asked whether a successor's log holds every acknowledged commit. choose_successor() compared `draining` before `received`, a silent replica was ignored, and a primary that leaves went on acknowledging commits until its successor led. So all three are one fault.

Change, for services with synchronous replicas only: a lost primary is replaced by the longest log, draining or not, and only if fewer replicas than SyncReplicas may hold a longer one (silent, busy, or removed from the registry before the candidate had received what they may have held). A leaving primary is fenced and handed over by the handover's chart. A primary that was fenced by a proxy that failed is replaced by a log as long as its own.

Why it works: an acknowledged commit is in the logs of SyncReplicas replicas and logs are prefixes of each other, so with fewer unknown ones the longest known log has it. A fenced primary acknowledges nothing, so its log end bounds them all.

--- a/src/cornellever/cluster/control.hpp
+++ b/src/cornellever/cluster/control.hpp
@@ -238,6 +238,9 @@
     static constexpr std::chrono::milliseconds min_retry_pause{100};
     /// Delay after a promotion attempt that found no suitable replica, to let a new server register.
     static constexpr std::chrono::milliseconds successor_wait{800};
+    /// How long after a promotion attempt a service counts as one without a suitable successor: until
+    /// the next attempt has ended, with the time for its queries.
+    static constexpr std::chrono::milliseconds no_successor_period{1000};
     /// Maximum delay after another proxy claimed the promotion. A promotion takes 1.2 s.
     static constexpr std::chrono::milliseconds other_claim_pause{1200};
     /// How long a service may have neither a registered nor a reachable primary before the primary
--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -198,11 +198,27 @@
     return ended.event == "all_leave" ? successor_wait : retry_pause;
 }
 
+/// Replaces a primary. The primary of a service with synchronous replicas acknowledges commits until
+/// its successor leads. The successor might not have received these, so a primary that is leaving is
+/// fenced first.
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 asio::awaitable<void> control<Store, Orders, Connector>::replace(std::string service, std::string old,
                                                                  primary_verdict why) {
     log_event(event::failover_started, "service=" + service + " old=" + old);
-    const auto ended = co_await m_promotion.run(service, old, why);
+    const auto limits = m_config.services.find(service);
+    const int synchronous_replicas = limits == m_config.services.end() ? 0 : limits->second.synchronous_replicas;
+    promotion_outcome ended;
+    const bool fence_first = synchronous_replicas > 0 && why == primary_verdict::leaving;
+    if (fence_first) {
+        ended = co_await m_handover.run(service, old, &check_promotion);
+    }
+    // A proxy that has failed may have fenced the primary and promoted none.
+    if (!fence_first || ended.event == "replaced") {
+        ended = co_await m_promotion.run(service, old, why, synchronous_replicas);
+    }
+    if (ended.event == "commits_unproven") {
+        m_bridge.note_no_successor(service, boot_clock::now() + no_successor_period);
+    }
     const bool done = ended.state == "done";
     ++(done ? m_counts.promoted : m_counts.given_up);
     log_event(done ? event::failover_done : event::failover_given_up,
--- a/src/cornellever/cluster/handover.hpp
+++ b/src/cornellever/cluster/handover.hpp
@@ -56,9 +56,12 @@
         , m_servers{servers}
         , m_steps{steps} {}
 
-    /// Runs the state chart once for the primary `old`.
-    asio::awaitable<promotion_outcome> run(std::string service, std::string old) {
-        attempt current{{.service = std::move(service), .old = std::move(old)}};
+    /// Runs the state chart once for the primary `old`. `check` decides whether an existing claim
+    /// blocks the handover: `check_promotion` if the primary is about to stop, so that the handover
+    /// cannot wait.
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old,
+                                           claim_check_function check = &check_handover) {
+        attempt current{{.service = std::move(service), .old = std::move(old)}, check};
         const auto step = [&](std::string_view action) { return act(action, current); };
         co_return co_await run_chart(m_steps, current.common, step);
     }
@@ -66,6 +69,7 @@
 private:
     struct attempt {
         promotion_attempt common;
+        claim_check_function check{&check_handover};
         /// The primary's term according to the survey.
         std::uint64_t term{0};
         /// The end of the old primary's log when it was fenced.
@@ -85,7 +89,7 @@
             co_return co_await survey(current);
         }
         if (action == "write_claim") {
-            co_return co_await m_actions.claim(current.common, &check_handover);
+            co_return co_await m_actions.claim(current.common, current.check);
         }
         if (action == "step_down") {
             co_return co_await fence(current);
--- a/src/cornellever/cluster/promotion.hpp
+++ b/src/cornellever/cluster/promotion.hpp
@@ -50,49 +50,58 @@
     [[nodiscard]] actions_type& actions() noexcept { return m_actions; }
 
     /// Runs the state chart once to replace `old`, which has been judged lost or leaving. `old` is
-    /// empty if no primary is known.
-    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why) {
-        promotion_attempt current{.service = std::move(service), .old = std::move(old)};
-        const auto step = [&](std::string_view action) { return act(action, current, why); };
-        co_return co_await run_chart(m_steps, current, step);
+    /// empty if no primary is known. Commits of the service are acknowledged once
+    /// `synchronous_replicas` replicas have received them.
+    asio::awaitable<promotion_outcome> run(std::string service, std::string old, primary_verdict why,
+                                           int synchronous_replicas = 0) {
+        attempt current{{.service = std::move(service), .old = std::move(old)}, why, synchronous_replicas};
+        const auto step = [&](std::string_view action) { return act(action, current); };
+        co_return co_await run_chart(m_steps, current.common, step);
     }
 
 private:
+    struct attempt {
+        promotion_attempt common;
+        primary_verdict why{primary_verdict::lost};
+        int synchronous_replicas{0};
+    };
+
     /// Allows for a new connection (12 to 30 ms) and a request that the server handles even if all
     /// its statement slots are taken. If the primary does not respond at all, this timeout adds to
     /// the time without writes (1.2 to 2.0 s).
     static constexpr std::chrono::milliseconds recheck_timeout{100};
 
-    asio::awaitable<std::string> act(std::string_view action, promotion_attempt& current, primary_verdict why) {
+    asio::awaitable<std::string> act(std::string_view action, attempt& current) {
         if (action == "query_replicas") {
-            co_return co_await query_replicas(current, why);
+            co_return co_await query_replicas(current);
         }
         if (action == "write_claim") {
-            co_return co_await m_actions.claim(current, &check_promotion);
+            co_return co_await m_actions.claim(current.common, &check_promotion);
         }
         if (action == "recheck_primary") {
-            co_return co_await recheck(current, why);
+            co_return co_await recheck(current);
         }
         if (action == "order_promotion") {
-            co_return co_await m_actions.order(current);
+            co_return co_await m_actions.order(current.common);
         }
         if (action == "await_leadership") {
-            co_return co_await m_actions.await_leadership(current);
+            co_return co_await m_actions.await_leadership(current.common);
         }
         if (action == "renew_claim") {
-            co_return co_await m_actions.renew(current);
+            co_return co_await m_actions.renew(current.common);
         }
         co_return "unknown_action";
     }
 
-    asio::awaitable<std::string> query_replicas(promotion_attempt& current, primary_verdict why) {
-        const auto reports = co_await m_servers.query_replicas(current.service, current.old);
+    asio::awaitable<std::string> query_replicas(attempt& current) {
+        const auto reports = co_await m_servers.query_replicas(current.common.service, current.common.old);
         const auto existing = std::ranges::find_if(reports, [](const auto& item) { return item.is_primary; });
         if (existing != reports.end() && !lacks_entries_of(*existing, reports)) {
-            current.successor = existing->id;
+            current.common.successor = existing->id;
             co_return "leads_already";
         }
-        const auto chosen = choose_successor(reports, why);
+        const auto chosen =
+            current.synchronous_replicas > 0 ? choose_longest_log(reports) : choose_successor(reports, current.why);
         if (!chosen) {
             const bool any = std::ranges::any_of(reports, &replica_report::answered);
             co_return any ? "all_leave" : "none_answered";
@@ -100,19 +109,21 @@
         if (may_hold_only_log(reports)) {
             co_return "none_answered";
         }
-        current.successor = chosen->id;
-        co_return "chosen";
+        current.common.successor = chosen->id;
+        const replaced_primary old{current.common.old, current.why, current.synchronous_replicas};
+        co_return holds_acknowledged_commits(*chosen, reports, old) ? "chosen" : "commits_unproven";
     }
 
     /// Checks again whether the old primary is lost. It may be healthy again because a network
     /// partition ended: the evidence against it was collected before the claim was written, and
     /// writing the claim may have taken as long as the store was unreachable. Promoting a replica
     /// would then roll back what others wrote to the primary meanwhile.
-    asio::awaitable<std::string> recheck(const promotion_attempt& current, primary_verdict why) {
-        if (why != primary_verdict::lost || current.old.empty()) {
+    asio::awaitable<std::string> recheck(const attempt& current) {
+        if (current.why != primary_verdict::lost || current.common.old.empty()) {
             co_return "gone";
         }
-        const bool confirmed = co_await m_servers.is_primary_now(current.service, current.old, recheck_timeout);
+        const auto& common = current.common;
+        const bool confirmed = co_await m_servers.is_primary_now(common.service, common.old, recheck_timeout);
         co_return confirmed ? "leads_still" : "gone";
     }
 
--- a/src/cornellever/cluster/promotion_actions.hpp
+++ b/src/cornellever/cluster/promotion_actions.hpp
@@ -116,8 +116,7 @@
     }
 
     /// Writes the claim unless `check` says that the existing claim blocks it.
-    asio::awaitable<std::string> claim(promotion_attempt& current,
-                                       claim_check (*check)(const promotion_claim&, const claim_request&)) {
+    asio::awaitable<std::string> claim(promotion_attempt& current, claim_check_function check) {
         current.store_read_at = Clock::now();
         auto row = co_await m_store.read(std::string{claims_table}, current.service);
         if (!row) {
@@ -212,7 +211,7 @@
         orders_done_after(std::chrono::milliseconds{0}) + min_alternation_interval;
 
     claim_check check_claim(const promotion_claim& before, const promotion_attempt& current,
-                            claim_check (*check)(const promotion_claim&, const claim_request&)) {
+                            claim_check_function check) {
         const auto holder = proxy_of(before.holder);
         if (holder != m_holder) {
             note_claim_of_other(current.service);
--- a/src/cornellever/cluster/promotion_claim.hpp
+++ b/src/cornellever/cluster/promotion_claim.hpp
@@ -104,6 +104,9 @@
 /// handover can wait.
 [[nodiscard]] claim_check check_handover(const promotion_claim& before, const claim_request& by);
 
+/// `check_promotion` or `check_handover`.
+using claim_check_function = claim_check (*)(const promotion_claim&, const claim_request&);
+
 /// Returns the claimants of a claim that `proxy` makes at `at`, from those of the claim before it.
 [[nodiscard]] std::vector<recent_claimant> claimants_after(std::span<const recent_claimant> before,
                                                            std::string_view proxy, std::chrono::milliseconds at);
--- a/src/cornellever/cluster/successor.cpp
+++ b/src/cornellever/cluster/successor.cpp
@@ -1,6 +1,7 @@
 #include "cornellever/cluster/successor.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cornellever::cluster {
 
@@ -10,6 +11,16 @@
     return item.answered && item.received.number > 0;
 }
 
+/// Whether the server reported how much of the log it has received. A server that is too busy for
+/// that reports only what it has applied.
+bool reports_received(const replica_report& item) {
+    return item.answered && (item.is_replica || item.is_primary);
+}
+
+bool may_hold_longer_log(const replica_report& item, const replica_report& candidate) {
+    return item.registered ? !reports_received(item) : item.received > candidate.received;
+}
+
 } // namespace
 
 std::optional<replica_report> choose_successor(std::span<const replica_report> replicas, primary_verdict why) {
@@ -29,6 +40,32 @@
     return *best;
 }
 
+std::optional<replica_report> choose_longest_log(std::span<const replica_report> replicas) {
+    const auto worse = [](const replica_report& left, const replica_report& right) {
+        return std::tuple{left.answered, left.received, !left.draining} <
+               std::tuple{right.answered, right.received, !right.draining};
+    };
+    const auto best = std::ranges::max_element(replicas, worse);
+    return best == replicas.end() || !best->answered ? std::nullopt : std::optional{*best};
+}
+
+bool holds_acknowledged_commits(const replica_report& candidate, std::span<const replica_report> replicas,
+                                const replaced_primary& old) {
+    if (old.synchronous_replicas == 0) {
+        return true;
+    }
+    const auto fenced = std::ranges::find(replicas, old.id, &replica_report::id);
+    if (fenced != replicas.end() && fenced->is_replica) {
+        return candidate.received >= fenced->received;
+    }
+    if (old.why != primary_verdict::lost || !reports_received(candidate)) {
+        return false;
+    }
+    const auto unknown =
+        std::ranges::count_if(replicas, [&](const auto& item) { return may_hold_longer_log(item, candidate); });
+    return unknown < old.synchronous_replicas;
+}
+
 bool may_hold_only_log(std::span<const replica_report> replicas) {
     const auto silent = [](const replica_report& item) { return !item.answered; };
     return std::ranges::none_of(replicas, holds_entries) && std::ranges::any_of(replicas, silent);
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "cornellever/cluster/primary_judge.hpp"
 #include "cornellever/sql/position.hpp"
@@ -22,6 +23,9 @@
     bool is_replica{false};
     /// False if the replica did not respond in time; `received` and `is_primary` are then unknown.
     bool answered{true};
+    /// False if the replica has been removed from the registry. `received` is then the highest position
+    /// of the primary's log that was known when the replica was removed.
+    bool registered{true};
 };
 
 /// Chooses the replica to promote: the one with the longest log among those that are not draining
@@ -32,6 +36,32 @@
 [[nodiscard]] std::optional<replica_report> choose_successor(std::span<const replica_report> replicas,
                                                              primary_verdict why);
 
+/// Chooses the server with the longest log of those that responded, and among servers with equally
+/// long logs one that is not draining. Used for services with synchronous replicas: a draining
+/// replica also acknowledges commits, so it may be the only one that holds them.
+[[nodiscard]] std::optional<replica_report> choose_longest_log(std::span<const replica_report> replicas);
+
+/// The primary that is replaced, in a service whose primary acknowledges a commit only after
+/// `synchronous_replicas` replicas have received it.
+struct replaced_primary {
+    std::string_view id;
+    primary_verdict why{primary_verdict::lost};
+    int synchronous_replicas{0};
+};
+
+/// Returns whether the log of `candidate` is proven to hold every acknowledged commit, which always
+/// counts as proven without synchronous replicas.
+///
+/// The log is complete if it reaches the end of the log of the old primary, which has stepped down
+/// and acknowledges nothing any more. Otherwise, an acknowledged commit is in the logs of at least
+/// `synchronous_replicas` replicas, so the longest log is complete if fewer replicas than that may
+/// hold a longer one: those that have not reported how much they have received, and those that were
+/// removed from the registry before the candidate had received what they may have held. No timeout
+/// ends the wait for these. A primary that is leaving and has not stepped down still acknowledges
+/// commits, so nothing is proven.
+[[nodiscard]] bool holds_acknowledged_commits(const replica_report& candidate, std::span<const replica_report> replicas,
+                                              const replaced_primary& old);
+
 /// Returns whether a registered server that has not responded may hold the only log, because the
 /// logs of all servers that responded are empty. Promoting one of these would roll back every
 /// commit. The platform removes the entries of servers that have failed, so a promotion waits for
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -76,6 +76,12 @@
         });
     }
 
+    /// Records that until `until` no server of the service is suitable to become the primary.
+    void note_no_successor(std::string service, boot_clock::time_point until) {
+        asio::post(m_executor,
+                   [this, service = std::move(service), until] { m_host.pool_for(service).note_no_successor(until); });
+    }
+
     asio::awaitable<std::vector<service_observation>> observations() {
         return asio::co_spawn(m_executor, collect_observations(), asio::use_awaitable);
     }
@@ -245,6 +251,11 @@
                 reports.push_back({.id = id, .received = {}, .draining = draining, .answered = false});
             }
         }
+        for (const auto& [id, log_end] : backends.removed_replicas()) {
+            if (id != old) {
+                reports.push_back({.id = id, .received = log_end, .answered = false, .registered = false});
+            }
+        }
         co_return reports;
     }
 
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -122,6 +122,19 @@
     /// returns the time until that server is contacted again.
     [[nodiscard]] std::optional<std::chrono::milliseconds> unproven_log_retry_after() const;
 
+    /// Records that until `until` no server is suitable to become the primary.
+    void note_no_successor(time_point until) { m_no_successor_until = until; }
+
+    /// If the primary cannot be reached and no other server is suitable to replace it, returns the time until the
+    /// servers are queried again.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> no_successor_retry_after() const;
+
+    /// Returns the replicas that were removed from the registry and may have held commits that no registered replica is
+    /// known to have received. The position is the highest known of the primary's log at the time of the removal.
+    [[nodiscard]] const std::map<std::string, sql::log_position, std::less<>>& removed_replicas() const noexcept {
+        return m_removed_replicas;
+    }
+
     /// Records the log position that `id` had reached as the primary according to a peer.
     void note_reported_position(const std::string& id, const sql::log_position& position) {
         m_high_water_mark.note_reported_position(id, position, boot_clock::now());
@@ -217,6 +230,9 @@
     using waiter = pool_waiter<slot>;
 
     std::set<std::string, std::less<>> retire_all_but(std::span<const backend_server* const> servers);
+    void note_removed(const entry& at);
+    void forget_covered_removals();
+    [[nodiscard]] std::optional<sql::log_position> known_log_end() const;
     void retire(entry& old_entry);
     void close_idle(entry& at);
     [[nodiscard]] bool eligible(const connection_request& request, const entry& at, time_point now) const;
@@ -323,6 +339,7 @@
     std::size_t m_proxies{1};
     std::map<std::string, std::unique_ptr<entry>, std::less<>> m_entries;
     std::vector<std::unique_ptr<entry>> m_retired;
+    std::map<std::string, sql::log_position, std::less<>> m_removed_replicas;
     account_shares m_shares;
     wait_queue<waiter> m_wait_queue;
     read_floor m_read_floor;
@@ -339,6 +356,7 @@
     time_point m_used_at{};
     bool m_is_owner{true};
     bool m_path_cut{false};
+    time_point m_no_successor_until{};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -5,6 +5,7 @@
 template <link_connector Connector>
 void service_pool<Connector>::update(std::span<const backend_server* const> servers, const drain_times& drains) {
     const auto now = boot_clock::now();
+    forget_covered_removals();
     const auto restarted = retire_all_but(servers);
     for (const auto* item : servers) {
         auto& at = m_entries[item->id];
@@ -50,6 +51,9 @@
                                                 " before_ms=" + std::to_string(at->second->server.started_at_ms));
             out.insert(at->first);
         }
+        if (!restarted) {
+            note_removed(*at->second);
+        }
         if (at->first == m_primary) {
             m_primary.clear();
         }
@@ -60,6 +64,40 @@
     return out;
 }
 
+/// Records a replica that was removed from the registry, and how much of the log it may have held.
+template <link_connector Connector>
+void service_pool<Connector>::note_removed(const entry& at) {
+    const auto& id = at.server.id;
+    const bool led = m_high_water_mark.highest_position_of(id) || at.server.role == server_role::primary;
+    const auto log_end = known_log_end();
+    if (!led && id != m_primary && log_end) {
+        m_removed_replicas.insert_or_assign(id, *log_end);
+        log_event(event::replica_removed,
+                  "service=" + m_service + " server=" + id + " log_end=" + sql::to_string(*log_end));
+    }
+}
+
+/// Discards the removed replicas whose log cannot be longer than that of a registered server.
+template <link_connector Connector>
+void service_pool<Connector>::forget_covered_removals() {
+    std::erase_if(m_removed_replicas, [&](const auto& removed) {
+        return std::ranges::any_of(m_entries, [&](const auto& item) {
+            const auto& applied = item.second->progress.applied();
+            return item.first != m_primary && applied && *applied >= removed.second;
+        });
+    });
+}
+
+/// Returns the highest position of the primary's log that this proxy knows of.
+template <link_connector Connector>
+std::optional<sql::log_position> service_pool<Connector>::known_log_end() const {
+    auto out = m_high_water_mark.highest_position_of(m_primary);
+    if (const auto* newest = m_read_floor.newest(); newest != nullptr && (!out || *out < newest->position)) {
+        out = newest->position;
+    }
+    return out;
+}
+
 template <link_connector Connector>
 void service_pool<Connector>::close_idle(entry& at) {
     std::vector<slot*> idle;
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -167,6 +167,12 @@
     return std::max(wait, search_period);
 }
 
+template <link_connector Connector>
+std::optional<std::chrono::milliseconds> service_pool<Connector>::no_successor_retry_after() const {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_no_successor_until - boot_clock::now());
+    return wait <= std::chrono::milliseconds{0} || primary_reachable() ? std::nullopt : std::optional{wait};
+}
+
 /// Disregards the leadership of a server that lost commits, so that a server that has the commits is promoted. New
 /// connections to the server that lost commits are attempted with the longest backoff.
 template <link_connector Connector>
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -93,6 +93,9 @@
         return refused_for_now("the primary's log is empty and a server that may hold the commits does not respond",
                                *wait);
     }
+    if (const auto wait = pool_request.primary ? backends.no_successor_retry_after() : std::nullopt) {
+        return refused_for_now("the primary is lost and no server is known to hold all acknowledged commits", *wait);
+    }
     const auto limits = time_limits_of(run);
     const auto decision = pool_request.primary && !backends.primary_reachable()
                               ? routing::admit_without_primary(limits)
--- a/tests/unit/handovers.cpp
+++ b/tests/unit/handovers.cpp
@@ -103,14 +103,15 @@
     }
 };
 
-cluster::promotion_outcome run_handover(fake_service& service) {
+cluster::promotion_outcome run_handover(fake_service& service,
+                                        cluster::claim_check_function check = &cluster::check_handover) {
     event_loop io;
     const auto promotion_chart = *state_chart::parse(cluster::charts::promotion, "promotion.ini");
     const auto handover_chart = *state_chart::parse(cluster::charts::handover, "handover.ini");
     cluster::promotion promotions{service, service, service, promotion_chart, "a", "a/1"};
     cluster::handover only{promotions.actions(), service, handover_chart};
     cluster::promotion_outcome out;
-    asio::co_spawn(io, only.run("stock", "p"),
+    asio::co_spawn(io, only.run("stock", "p", check),
                    [&](const std::exception_ptr&, cluster::promotion_outcome ended) { out = std::move(ended); });
     io.run();
     return out;
@@ -250,6 +251,21 @@
     }
 }
 
+// Guards against commits that are acknowledged after the order and that the successor never receives, and against a
+// wait of 10 s after another promotion, in which the primary may stop.
+BOOST_AUTO_TEST_CASE(the_primary_of_a_service_with_synchronous_replicas_is_fenced_before_it_is_replaced) {
+    const cluster::promotion_claim recent{"b/1", "q", "p", 1, 59'000ms, true};
+    for (const std::uint64_t log_end : {100U, 101U}) {
+        fake_service service;
+        service.row = cluster::encode(recent);
+        service.primary->received.number = log_end;
+        const auto outcome = run_handover(service, &cluster::check_promotion);
+        BOOST_TEST(outcome.event == "leads");
+        BOOST_TEST(service.fenced_below == 2U);
+        BOOST_TEST(outcome.successor == (log_end == 100 ? "r1" : "p"));
+    }
+}
+
 // Guards against writes and transactions that are refused while a handover is under way, although they could wait for
 // the new primary. The transaction begins on a connection that was primed before the fence.
 BOOST_AUTO_TEST_CASE(writes_between_the_fence_and_the_new_primary_wait) {
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -379,6 +379,68 @@
     BOOST_TEST(outcome->event == "none_answered");
 }
 
+namespace {
+
+/// How one promotion of a service ends whose commits are acknowledged after one replica has received them.
+cluster::promotion_outcome promote_with_synchronous_replica(std::vector<cluster::replica_report> reports,
+                                                            cluster::primary_verdict why) {
+    simulation state;
+    simulated_store store{state};
+    simulated_platform orders{state};
+    fixed_replicas replicas{std::move(reports)};
+    const auto promotion_chart = steps();
+    cluster::promotion only{store, replicas, orders, promotion_chart, "first", "first/1"};
+    std::optional<cluster::promotion_outcome> outcome;
+    asio::co_spawn(state.io, only.run("stock", "old", why, 1),
+                   [&](const std::exception_ptr&, cluster::promotion_outcome ended) { outcome = std::move(ended); });
+    while (!outcome) {
+        state.io.poll();
+        state.io.restart();
+        if (!state.pending.empty()) {
+            auto call = std::move(state.pending.front());
+            state.pending.pop_front();
+            call.apply();
+            call.finish(true);
+        }
+    }
+    return *outcome;
+}
+
+} // namespace
+
+// Guards against the loss of acknowledged commits that only a draining, a silent or a removed replica has received.
+BOOST_AUTO_TEST_CASE(a_synchronous_replica_is_promoted_only_if_its_log_is_proven_complete) {
+    using cluster::replica_report;
+    struct example {
+        std::vector<replica_report> reports;
+        cluster::primary_verdict why;
+        std::string event;
+        std::string successor;
+    };
+    const replica_report behind{.id = "behind", .received = {1, 10}, .is_replica = true};
+    const replica_report level{.id = "level", .received = {1, 30}, .is_replica = true};
+    const replica_report draining{.id = "draining", .received = {1, 30}, .draining = true, .is_replica = true};
+    const replica_report silent{.id = "silent", .answered = false};
+    const replica_report busy{.id = "busy", .received = {1, 9}};
+    const replica_report removed{.id = "removed", .received = {1, 20}, .answered = false, .registered = false};
+    const replica_report fenced{.id = "old", .received = {1, 30}, .draining = true, .is_replica = true};
+    constexpr auto lost = cluster::primary_verdict::lost;
+    constexpr auto leaving = cluster::primary_verdict::leaving;
+    const std::vector<example> examples{
+        {{behind, draining}, lost, "leads", "draining"},    {{level, draining}, lost, "leads", "level"},
+        {{draining, level}, lost, "leads", "level"},        {{behind, silent}, lost, "commits_unproven", "behind"},
+        {{level, busy}, lost, "commits_unproven", "level"}, {{behind, removed}, lost, "commits_unproven", "behind"},
+        {{level, removed}, lost, "leads", "level"},         {{behind, silent, fenced}, lost, "leads", "old"},
+        {{level, silent, fenced}, lost, "leads", "level"},  {{level, draining}, leaving, "commits_unproven", "level"},
+        {{behind, fenced}, leaving, "leads", "old"},        {{level, silent, fenced}, leaving, "leads", "level"},
+    };
+    for (const auto& item : examples) {
+        const auto outcome = promote_with_synchronous_replica(item.reports, item.why);
+        BOOST_TEST(outcome.event == item.event);
+        BOOST_TEST(outcome.successor == item.successor);
+    }
+}
+
 // Guards against accepting an empty server as the primary although another one holds the log.
 BOOST_AUTO_TEST_CASE(a_primary_without_a_log_does_not_end_a_promotion) {
     using cluster::replica_report;
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include "cornellever/cluster/traffic_bridge.hpp"
+#include "fake_peer.hpp"
 #include "proxy_in_memory.hpp"
 
 using namespace cornellever;
@@ -497,4 +499,60 @@
     BOOST_TEST(known.started_after(other));
 }
 
+// Guards against a promotion that loses acknowledged commits because the only replica that had received them has left
+// the registry.
+BOOST_AUTO_TEST_CASE(a_removed_replica_counts_until_its_log_is_covered) {
+    proxy_in_memory proxy;
+    cluster::traffic_bridge bridge{proxy.io.get_executor(), proxy.host};
+    auto& pool = proxy.host.pool_for("stock");
+    for (const auto* id : {"p", "r1"}) {
+        proxy.server(id).position = {1, 30};
+    }
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+    proxy.play({&caller});
+    auto without_r1 = three_servers();
+    without_r1.version = 2;
+    without_r1.servers.erase("r1");
+    proxy.host.update(without_r1);
+    const auto removed = [&] {
+        std::optional<cluster::replica_report> out;
+        run_coroutine(proxy.io, [&]() -> asio::awaitable<void> {
+            const auto reports = co_await bridge.query_replicas("stock", "p");
+            const auto found = std::ranges::find(reports, "r1", &cluster::replica_report::id);
+            out = found == reports.end() ? std::nullopt : std::optional{*found};
+        });
+        proxy.io.restart();
+        return out;
+    };
+    const auto before = removed();
+    BOOST_TEST_REQUIRE(before.has_value());
+    BOOST_TEST((!before->registered && !before->answered));
+    BOOST_TEST((before->received == sql::log_position{1, 30}));
+    proxy.server("r2").position = {1, 30};
+    (void)removed();
+    without_r1.version = 3;
+    proxy.host.update(without_r1);
+    BOOST_TEST(!removed().has_value());
+    BOOST_TEST(pool.removed_replicas().empty());
+}
+
+// Guards against writes that wait for their deadline although no server can replace the lost primary.
+BOOST_AUTO_TEST_CASE(writes_are_refused_at_once_while_no_successor_is_suitable) {
+    proxy_in_memory proxy;
+    auto& pool = proxy.host.pool_for("stock");
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    request("w", statement_kind::write, "1 x")}};
+    boot_clock::time_point asked_at;
+    caller.before[2] = [&] {
+        proxy.server("p").is_primary = false;
+        pool.note_not_primary(*pool.entries().at("p"));
+        pool.note_no_successor(boot_clock::now() + 1s);
+        asked_at = boot_clock::now();
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 2U);
+    BOOST_TEST((caller.answers[1].why() == sql::refusal::overloaded));
+    BOOST_TEST((boot_clock::now() - asked_at < 100ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
