--- a/tests/fuzz/statements.cpp
+++ b/tests/fuzz/statements.cpp
@@ -19,11 +19,12 @@
 /// inject a statement, and a decoded message can be encoded and decoded again.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string_view text{reinterpret_cast<const char*>(data), size};
-    const auto line = text.substr(0, text.find('\n'));
+    constexpr std::string_view line_terminator = "\r\n";
+    const auto line = text.substr(0, text.find(line_terminator));
     const auto event = platform::decode_caller_line(line);
     if (const auto* request = std::get_if<sql::request>(&event)) {
         const auto bytes = platform::encode_command({request->id, request->what, {}});
-        if (bytes.find('\n') != bytes.size() - 1) {
+        if (bytes.find(line_terminator) != bytes.size() - line_terminator.size()) {
             std::abort();
         }
         const auto again = platform::decode_caller_line(std::string_view{bytes}.substr(0, bytes.size() - 2));
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -367,4 +367,30 @@
     }
 }
 
+// Guards against text of a caller's data that is cut off at a line feed or runs as a statement of its own, also on the
+// way to another proxy.
+BOOST_AUTO_TEST_CASE(a_line_feed_or_carriage_return_in_data_does_not_end_the_statement) {
+    const std::vector<std::string> data{"two ovens\nfor the resort", "two ovens\nQUERY x1 WRITE 2c1 none",
+                                        "\n\r\rtwo\roven\ns\n", "ends with\r"};
+    std::vector<std::string> lines{"STARTUP strict u1", "QUERY s SET note two\nlines",
+                                   "QUERY q PREPARE note WRITE shape\nof two lines"};
+    std::vector<std::string> expected;
+    for (const auto& item : data) {
+        lines.push_back("QUERY w" + std::to_string(lines.size()) + " WRITE 1a4 " + item);
+        expected.push_back("p " + lines.back());
+    }
+    lines.emplace_back("QUERY e EXECUTE note 1a4 two\nlines");
+    for (const bool relayed : {false, true}) {
+        two_proxies path{5, static_cast<std::uint16_t>(relayed ? 27351 : 27361)};
+        path.entry.host.set_proxies(path.proxies(relayed ? 20 : 1));
+        const auto transcript = path.play(lines);
+        BOOST_TEST(transcript.find("MALFORMED") == std::string::npos, transcript);
+        auto& received = path.primary.caller_statements;
+        BOOST_TEST_REQUIRE(received.size() == data.size() + 1);
+        BOOST_TEST(received.back().ends_with(" 1a4 two\nlines"));
+        received.pop_back();
+        BOOST_TEST(received == expected, boost::test_tools::per_element());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
