Sessions: keep the position of the last commit at each service

Cause: session_state held one log position without its service. The commit at the second service replaced the position at the first, and the read floor of either service was computed from it. Related paths with the same fault: the commit of a transaction, the opening of a relayed session, and a reply of a peer, whose configuration may differ from that of the proxy that relays.

Change: positions by service. A relayed session is opened with all of them, and the peer's reply to a commit names the service. Both are ignored by proxies of earlier versions: the positions follow the first word of the opening without a blank (a JSON object), and only a session opened so gets the service in READY. The position alone is still sent for earlier versions, and taken for the route's service when one of them opens the session.

Why it works: a floor is compared only with positions of its own log, and a session's position at a service outlives its time at another. Reads at a service where the session has not written have no such floor.

The unit test plays writes and transactions, own and relayed sessions, and a read at the other service.

--- a/src/cornellever/session/active_session.hpp
+++ b/src/cornellever/session/active_session.hpp
@@ -35,6 +35,8 @@
     /// the connection to the peer was lost.
     std::unique_ptr<Relay> session{};
     std::string peer_name{};
+    /// The service that this proxy routes the current operation to. The peer may have another configuration.
+    std::string service{};
     boot_clock::time_point opened_at{};
     /// The owner that is tried first when the session is opened at a peer again; empty for the usual order.
     std::string preferred_owner{};
--- a/src/cornellever/session/caller.hpp
+++ b/src/cornellever/session/caller.hpp
@@ -10,6 +10,7 @@
 #include "cornellever/accounts/key_digest.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/boot_clock.hpp"
+#include "cornellever/session/commit_positions.hpp"
 #include "cornellever/sql/reply.hpp"
 #include "cornellever/sql/statement.hpp"
 
@@ -22,8 +23,13 @@
     /// True if another proxy sent this request on behalf of one of its callers. The session is then not relayed a
     /// second time.
     bool relayed{false};
-    /// The log position of the session's last commit; set only for relayed sessions.
+    /// The log position of the session's last commit at the service that the relaying proxy routes the database to; set
+    /// only for relayed sessions. Earlier versions know only this one.
     std::optional<sql::log_position> last_commit{};
+    /// The log positions of the session's last commits at all services; set only for relayed sessions.
+    commit_positions last_commits{};
+    /// Whether the relaying proxy wants each reply to name the service of a commit.
+    bool names_services{false};
     /// Digest of the caller's API key.
     accounts::key_digest key{};
     /// For relayed sessions, the version of the configuration in force at the relaying proxy. This proxy waits briefly
--- a/src/cornellever/session/session_state.hpp
+++ b/src/cornellever/session/session_state.hpp
@@ -4,8 +4,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "cornellever/accounts/key_digest.hpp"
+#include "cornellever/session/commit_positions.hpp"
 #include "cornellever/sql/position.hpp"
 #include "cornellever/sql/statement.hpp"
 
@@ -27,9 +29,15 @@
     accounts::key_digest key{};
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, prepared_statement, std::less<>> prepared;
-    /// Log position of the session's last commit. Later reads run only on
-    /// servers that have applied it (read-your-writes).
-    std::optional<sql::log_position> last_commit;
+    /// Log position of the session's last commit at each service. Later reads at a service run only on servers that
+    /// have applied it (read-your-writes), also after the database's route was moved to another service and back.
+    commit_positions last_commits;
+
+    /// Returns the position of the session's last commit at `service`, or nothing if there is none.
+    [[nodiscard]] std::optional<sql::log_position> last_commit_at(std::string_view service) const {
+        const auto found = last_commits.find(service);
+        return found == last_commits.end() ? std::nullopt : std::optional{found->second};
+    }
 };
 
 } // namespace cornellever::session
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -50,7 +50,8 @@
     out.priority = run.route.priority;
     out.primary = needs_primary || run.route.reads == routing::consistency::primary;
     if (!out.primary) {
-        out.floor = backends.floor().floor(run.arrival, run.route.max_staleness, run.session.last_commit);
+        out.floor =
+            backends.floor().floor(run.arrival, run.route.max_staleness, run.session.last_commit_at(run.route.service));
         // Without a recent freshness sample (a log position that the primary reported), no replica is known to be
         // within the staleness bound. The primary always is within the bound once it confirms its leadership, i.e. that
         // it is still the primary.
--- a/src/cornellever/session/statement_outcomes.ipp
+++ b/src/cornellever/session/statement_outcomes.ipp
@@ -105,10 +105,11 @@
     }
     if (reply->ok()) {
         if (reply->position) {
-            run.session.last_commit = reply->position;
+            run.session.last_commits.insert_or_assign(run.route.service, *reply->position);
             backends.note_commit(backend, held->sent_at, reply->position);
         }
         out = *reply;
+        out.committed_at = run.route.service;
         return outcome::answered;
     }
     const auto why = reply->why();
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -89,7 +89,8 @@
         log_served(*tx.backends, held, run, tx.floor);
         out = *reply;
         if (tx.wrote && reply->position) {
-            run.session.last_commit = reply->position;
+            run.session.last_commits.insert_or_assign(run.route.service, *reply->position);
+            out.committed_at = run.route.service;
             tx.backends->note_commit(backend, held->sent_at, reply->position);
         }
     } else if (!tx.wrote || (reply && sql::server_did_not_run(reply->why())) ||
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -144,7 +144,11 @@
     active.state.id = ++m_last_session_id;
     active.state.database = opening->database;
     active.state.key = opening->key;
-    active.state.last_commit = opening->last_commit;
+    active.state.last_commits = opening->last_commits;
+    const auto route = m_config.routes.find(opening->database);
+    if (opening->last_commit && opening->last_commits.empty() && route != m_config.routes.end()) {
+        active.state.last_commits.emplace(route->second.service, *opening->last_commit);
+    }
     active.status.close_if_no_input = [&caller] { caller.close_if_no_input(); };
     active.relayed = opening->relayed;
     m_sessions.insert(&active);
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -78,7 +78,9 @@
     for (const auto& peer : std::span{to}.first(std::min(to.size(), max_peer_attempts))) {
         const session_opening opening{.database = active.state.database,
                                       .relayed = true,
-                                      .last_commit = active.state.last_commit,
+                                      .last_commit = active.state.last_commit_at(active.at_peer.service),
+                                      .last_commits = active.state.last_commits,
+                                      .names_services = true,
                                       .key = active.state.key,
                                       .config_version = m_config.version};
         auto opened = co_await m_connector.open_relay(peer.sessions, opening, boot_clock::now() + peer_connect_timeout);
@@ -208,7 +210,8 @@
     const bool alone = !commit && at_peer.state == sql::transaction_state::idle;
     const bool committed = (commit && at_peer.wrote) || (alone && writes(active, request));
     if (committed && out->ok() && out->position) {
-        active.state.last_commit = out->position;
+        const auto& service = out->committed_at.empty() ? at_peer.service : out->committed_at;
+        active.state.last_commits.insert_or_assign(service, *out->position);
     }
     at_peer.state = out->state;
     co_return out;
@@ -232,6 +235,10 @@
     const auto route = m_config.routes.find(active.state.database);
     const auto limit = route == m_config.routes.end() ? peer_connect_timeout : route->second.statement_timeout;
     const auto until = boot_clock::now() + limit + peer_reply_slack;
+    const bool begins = at_peer.state == sql::transaction_state::idle || at_peer.deferred_begin;
+    if (route != m_config.routes.end() && begins) {
+        at_peer.service = route->second.service;
+    }
     auto why = routing::link_failure::not_sent;
     for (std::size_t tries = 0; tries < max_peer_attempts; ++tries) {
         // The session at the peer is closed, so the statements of this transaction are lost.
--- a/src/cornellever/sql/reply.hpp
+++ b/src/cornellever/sql/reply.hpp
@@ -47,6 +47,8 @@
     transaction_state state{transaction_state::idle};
     /// The server's log position after the statement.
     std::optional<log_position> position{};
+    /// For a commit or a single write: the service in whose log `position` is. Empty if unknown.
+    std::string committed_at{};
 
     [[nodiscard]] bool ok() const noexcept { return !error; }
 
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -393,4 +393,37 @@
     }
 }
 
+// Guards against a peer that takes the position of a commit at one service for one of another service, and against an
+// earlier version that does not understand the opening of a relayed session.
+BOOST_AUTO_TEST_CASE(a_relayed_session_names_the_services_of_its_commits) {
+    const session::session_opening opening{.database = "strict",
+                                           .relayed = true,
+                                           .last_commit = sql::log_position{3, 17},
+                                           .last_commits = {{"stock", {3, 17}}, {"work;shop=\"2\"", {2, 5}}},
+                                           .names_services = true,
+                                           .key = accounts::key_digest::of("a key"),
+                                           .config_version = 12};
+    auto line = platform::encode_relayed_opening(opening);
+    line.erase(line.find('\r'));
+    const auto read = platform::decode_peer_line(line);
+    const auto& back = as<session::session_opening>(read);
+    BOOST_TEST((back.last_commits == opening.last_commits));
+    BOOST_TEST(back.names_services);
+    // An earlier version skips the first word.
+    BOOST_TEST(line.substr(line.find(' ')) == " strict " + opening.key.text() + " 12 3.17");
+    for (const auto* invalid : {"RELAY{ strict", "RELAY[] strict", "RELAY{\"stock\":3} strict"}) {
+        const auto bad = std::string{invalid} + " " + opening.key.text() + " 12 3.17";
+        BOOST_TEST(std::holds_alternative<session::malformed_input>(platform::decode_peer_line(bad)), bad);
+    }
+    const sql::reply committed{.signature = "7.1", .position = sql::log_position{3, 18}, .committed_at = "stock"};
+    BOOST_TEST(platform::encode_relayed_reply(committed) == "COMPLETE 7.1\r\nREADY I 3.18 stock\r\n");
+    BOOST_TEST(platform::encode_reply(committed) == "COMPLETE 7.1\r\nREADY I 3.18\r\n");
+    reply_decoder decoder;
+    (void)decoder.decode_line("COMPLETE 7.1");
+    (void)decoder.decode_line("READY I 3.18 stock");
+    const auto decoded_reply = decoder.finish();
+    BOOST_TEST((decoded_reply.position == committed.position));
+    BOOST_TEST(decoded_reply.committed_at == "stock");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/reads_after_promotion.cpp
+++ b/tests/unit/reads_after_promotion.cpp
@@ -92,4 +92,63 @@
     BOOST_TEST(proxy.server("r1").of("r").empty());
 }
 
+// Guards against a session that reads without its own commit after the route of its database was moved to another
+// service and back, and against reads at a service that wait for a position of another service.
+BOOST_AUTO_TEST_CASE(a_session_keeps_its_position_at_each_service) {
+    for (const bool relayed : {false, true}) {
+        for (const bool transaction : {false, true}) {
+            proxy_in_memory proxy;
+            auto servers = three_servers();
+            servers.version = 2;
+            for (const auto* id : {"w", "w1"}) {
+                auto server = servers.servers.at(std::string{id} == "w" ? "p" : "r1");
+                server.id = id;
+                server.service = "workshop";
+                servers.servers.emplace(id, server);
+            }
+            proxy.host.update(servers);
+            proxy.server("w").is_primary = true;
+            for (const auto* id : {"p", "r1", "r2"}) {
+                proxy.server(id).position = {4, 612};
+            }
+            std::uint64_t version = 1;
+            const auto move_route = [&](const char* service) {
+                auto config = three_databases(++version);
+                config.services.emplace("workshop", routing::service_limits{"workshop", 16, 0});
+                for (auto& [name, route] : config.routes) {
+                    route.service = service;
+                }
+                proxy.host.update(config);
+            };
+            auto first = opening("own");
+            std::get<session::session_opening>(first).relayed = relayed;
+            caller_script caller{.events = {first, request("a", statement_kind::write, "1 x")}};
+            const auto add = [&](std::vector<session::caller_event> events) {
+                caller.events.insert(caller.events.end(), events.begin(), events.end());
+            };
+            caller.before[2] = [&] {
+                BOOST_TEST(proxy.server("p").of("a").size() == 1U);
+                move_route("workshop");
+            };
+            if (transaction) {
+                add({request("b", statement_kind::begin), request("w", statement_kind::write, "1 x"),
+                     request("c", statement_kind::commit)});
+            } else {
+                add({request("w", statement_kind::write, "1 x")});
+            }
+            const auto after_second = caller.events.size();
+            add({request("there", statement_kind::read, "1"), request("back", statement_kind::read, "1")});
+            caller.before[after_second + 1] = [&] { move_route("stock"); };
+            const auto requests = caller.events.size() - 1;
+            proxy.play({&caller});
+            BOOST_TEST(caller.answers.size() == requests);
+            for (const auto& answer : caller.answers) {
+                BOOST_TEST(answer.ok(), answer.error_text());
+            }
+            BOOST_TEST(proxy.server("p").of("back").size() == 1U);
+            BOOST_TEST(proxy.server("w").of("there").size() + proxy.server("w1").of("there").size() == 1U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
