Drain times: count from soon after the last confirmation of the registry

Cause: a proxy used a draining primary for 5.5 s from when it received the registry. With silent connections to the store it received that up to 5 s late, and ignored that its copy had last been confirmed as current before that.

Change: the time counts from 1 s after the last confirmation of the registry before, if that is earlier. Confirmations of the store and of peers count.

Why it works: the announcement is later than the confirmation, so the use ends at most 6.5 s after the announcement. With the usual confirmations (at most 2.5 s old) a draining primary is used for 4 s or more; a replacement takes 1 to 2 s.

The unit test does not compile before, since the time of the confirmation is a new argument; without the use of it, it fails.

--- a/src/cornellever/cluster/control.ipp
+++ b/src/cornellever/cluster/control.ipp
@@ -99,7 +99,7 @@
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
 void control<Store, Orders, Connector>::publish_registry() {
     (void)m_ownership.update_slots(m_registry.effective());
-    m_bridge.update(m_registry.effective());
+    m_bridge.update(m_registry.effective(), m_freshness.at(index_of(cached_table::servers)).confirmed_current_at());
 }
 
 template <metadata_store Store, promotion_orders Orders, routing::link_connector Connector>
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -58,6 +58,12 @@
         asio::post(m_executor, [this, value = std::move(value)]() mutable { m_host.update(std::move(value)); });
     }
 
+    void update(routing::registry servers, boot_clock::time_point before_current_at) {
+        asio::post(m_executor, [this, servers = std::move(servers), before_current_at]() mutable {
+            m_host.update(std::move(servers), before_current_at);
+        });
+    }
+
     void confirm_configuration(boot_clock::time_point at) {
         asio::post(m_executor, [this, at] { m_host.confirm_configuration(at); });
     }
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -61,8 +61,9 @@
     /// Applies a newer configuration; an older or equal one is ignored.
     void update(routing::configuration config);
 
-    /// Applies a registry of backend servers; a registry older than the current one is ignored.
-    void update(routing::registry servers);
+    /// Applies a registry of backend servers; a registry older than the current one is ignored. The one before was last
+    /// confirmed as current at `before_current_at`.
+    void update(routing::registry servers, boot_clock::time_point before_current_at = boot_clock::now());
 
     /// Records that the configuration in force, or an older one, was confirmed to be current at the time `at`. This
     /// extends the configuration lease, the time for which this proxy may check API keys against its copy of the
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -21,11 +21,11 @@
 }
 
 template <routing::link_connector Connector>
-void traffic<Connector>::update(routing::registry servers) {
+void traffic<Connector>::update(routing::registry servers, boot_clock::time_point before_current_at) {
     if (servers.version < m_registry.version) {
         return;
     }
-    m_drain_times.update(m_registry, servers, boot_clock::now());
+    m_drain_times.update(m_registry, servers, before_current_at, boot_clock::now());
     m_registry = std::move(servers);
     if (m_ownership.update_slots(m_registry)) {
         update_connection_budgets();
--- a/tests/unit/draining_servers.cpp
+++ b/tests/unit/draining_servers.cpp
@@ -52,19 +52,35 @@
     const auto before = three_servers();
     const auto draining = with_draining_primary(2);
     routing::drain_times drains;
-    drains.update({}, before, start);
+    drains.update({}, before, start, start);
     BOOST_TEST(!drains.since("p"));
-    drains.update(before, draining, start + 1s);
-    drains.update(draining, draining, start + 4s);
+    drains.update(before, draining, start + 1s, start + 1s);
+    drains.update(draining, draining, start + 4s, start + 4s);
     BOOST_TEST_REQUIRE(drains.since("p").has_value());
     BOOST_TEST((*drains.since("p") == start + 1s));
-    drains.update(draining, before, start + 5s);
+    drains.update(draining, before, start + 5s, start + 5s);
     BOOST_TEST(!drains.since("p"));
 }
 
+// Guards against requests to a primary later than its drain time, from a proxy that learns seconds late that it drains
+// because the connections to the store have gone silent.
+BOOST_AUTO_TEST_CASE(the_drain_time_starts_soon_after_the_last_confirmation_that_the_server_does_not_drain) {
+    const auto since = [](std::chrono::milliseconds confirmation_age) {
+        routing::drain_times drains;
+        drains.update(three_servers(), with_draining_primary(2), start - confirmation_age, start);
+        return start - *drains.since("p");
+    };
+    BOOST_TEST((since(0ms) == 0ms));
+    BOOST_TEST((since(1000ms) == 0ms));
+    BOOST_TEST((since(5000ms) == 4000ms));
+    proxy_in_memory proxy;
+    proxy.host.update(with_draining_primary(2), boot_clock::now() - 8s);
+    BOOST_TEST(reads_at_primary(proxy) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_first_seen_draining_counts_as_drained) {
     routing::drain_times drains;
-    drains.update({}, with_draining_primary(1), start);
+    drains.update({}, with_draining_primary(1), start, start);
     BOOST_TEST_REQUIRE(drains.since("p").has_value());
     BOOST_TEST((start - *drains.since("p") >= 1min));
 }
