Failover: a primary that stepped down proves nothing about a silent replica

The condition on the silent replicas now holds in every case; a primary that leaves still has to have stepped down. It costs a wait only if a proxy fails between its fence and its order while a replica is silent.

--- a/src/cornellever/cluster/successor.cpp
+++ b/src/cornellever/cluster/successor.cpp
@@ -54,11 +54,9 @@
     if (old.synchronous_replicas == 0) {
         return true;
     }
-    const auto fenced = std::ranges::find(replicas, old.id, &replica_report::id);
-    if (fenced != replicas.end() && fenced->is_replica) {
-        return candidate.received >= fenced->received;
-    }
-    if (old.why != primary_verdict::lost || !reports_received(candidate)) {
+    const auto former_primary = std::ranges::find(replicas, old.id, &replica_report::id);
+    const bool stepped_down = former_primary != replicas.end() && former_primary->is_replica;
+    if ((old.why != primary_verdict::lost && !stepped_down) || !reports_received(candidate)) {
         return false;
     }
     const auto unknown =
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -52,13 +52,12 @@
 /// Returns whether the log of `candidate` is proven to hold every acknowledged commit, which always
 /// counts as proven without synchronous replicas.
 ///
-/// The log is complete if it reaches the end of the log of the old primary, which has stepped down
-/// and acknowledges nothing any more. Otherwise, an acknowledged commit is in the logs of at least
-/// `synchronous_replicas` replicas, so the longest log is complete if fewer replicas than that may
-/// hold a longer one: those that have not reported how much they have received, and those that were
-/// removed from the registry before the candidate had received what they may have held. No timeout
-/// ends the wait for these. A primary that is leaving and has not stepped down still acknowledges
-/// commits, so nothing is proven.
+/// An acknowledged commit is in the logs of at least `synchronous_replicas` replicas, so the longest
+/// log is complete if fewer replicas than that may hold a longer one: those that have not reported
+/// how much they have received, and those that were removed from the registry before the candidate
+/// had received what they may have held. No timeout ends the wait for these. A primary that is
+/// leaving and has not stepped down still acknowledges commits, so nothing is proven. A primary that
+/// has stepped down proves nothing about a silent replica, which may have led since.
 [[nodiscard]] bool holds_acknowledged_commits(const replica_report& candidate, std::span<const replica_report> replicas,
                                               const replaced_primary& old);
 
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -427,12 +427,19 @@
     constexpr auto lost = cluster::primary_verdict::lost;
     constexpr auto leaving = cluster::primary_verdict::leaving;
     const std::vector<example> examples{
-        {{behind, draining}, lost, "leads", "draining"},    {{level, draining}, lost, "leads", "level"},
-        {{draining, level}, lost, "leads", "level"},        {{behind, silent}, lost, "commits_unproven", "behind"},
-        {{level, busy}, lost, "commits_unproven", "level"}, {{behind, removed}, lost, "commits_unproven", "behind"},
-        {{level, removed}, lost, "leads", "level"},         {{behind, silent, fenced}, lost, "leads", "old"},
-        {{level, silent, fenced}, lost, "leads", "level"},  {{level, draining}, leaving, "commits_unproven", "level"},
-        {{behind, fenced}, leaving, "leads", "old"},        {{level, silent, fenced}, leaving, "leads", "level"},
+        {{behind, draining}, lost, "leads", "draining"},
+        {{level, draining}, lost, "leads", "level"},
+        {{draining, level}, lost, "leads", "level"},
+        {{behind, silent}, lost, "commits_unproven", "behind"},
+        {{level, busy}, lost, "commits_unproven", "level"},
+        {{behind, removed}, lost, "commits_unproven", "behind"},
+        {{level, removed}, lost, "leads", "level"},
+        {{behind, fenced}, lost, "leads", "old"},
+        {{level, silent, fenced}, lost, "commits_unproven", "level"},
+        {{level, draining}, leaving, "commits_unproven", "level"},
+        {{behind, fenced}, leaving, "leads", "old"},
+        {{level, fenced}, leaving, "leads", "level"},
+        {{level, silent, fenced}, leaving, "commits_unproven", "level"},
     };
     for (const auto& item : examples) {
         const auto outcome = promote_with_synchronous_replica(item.reports, item.why);
