Tests: the moved route's test fails without its fix

Now the proxy has opened them, and the primary is in another data centre. Without the fix all four variants fail: the read runs on a replica that lacks the commit.

--- a/tests/unit/reads_after_promotion.cpp
+++ b/tests/unit/reads_after_promotion.cpp
@@ -100,6 +100,8 @@
             proxy_in_memory proxy;
             auto servers = three_servers();
             servers.version = 2;
+            // Reads that a replica may serve run at a replica of this data centre.
+            servers.servers.at("p").data_center = "there";
             for (const auto* id : {"w", "w1"}) {
                 auto server = servers.servers.at(std::string{id} == "w" ? "p" : "r1");
                 server.id = id;
@@ -111,6 +113,9 @@
             for (const auto* id : {"p", "r1", "r2"}) {
                 proxy.server(id).position = {4, 612};
             }
+            caller_script before{.events = {opening("fresh"), request("f", statement_kind::read, "1")}};
+            proxy.play({&before});
+            proxy.run_for(100ms);
             std::uint64_t version = 1;
             const auto move_route = [&](const char* service) {
                 auto config = three_databases(++version);
