Soak: synchronous replicas, routes that move, and data of any bytes

- `--synchronous N`: a commit is acknowledged once one replica has received it, draining or not ("When `SyncReplicas` is 1, the commit is acknowledged once one replica has received it"; "An instance that is `draining` receives, and counts toward `SyncReplicas`, until it ends"); otherwise it ends in TIMEOUT, which promises nothing.
No promotion may discard an acknowledged commit ("Where the service has `SyncReplicas`, an acknowledged commit isn't in the log of the instance that is promoted" breaks LOST).
Rounds: a replica receives nothing, and the other one drains or is unreachable when the primary crashes; or the primary drains, and the ordered successor stops receiving.
- `--moved N`: the route of a database is moved to the other service and back ("A change to a route applies from the next transaction onward") while the replicas apply commits late.
The checker now takes the service of a read and of a commit from the server that ran it instead of the route, which is as strict.

--- a/tests/emulator/consistency_checker.cpp
+++ b/tests/emulator/consistency_checker.cpp
@@ -64,21 +64,21 @@
     }
 }
 
-void consistency_checker::record_rollback(const std::string& service, std::uint64_t retained_entries, bool handover) {
+void consistency_checker::record_rollback(const std::string& service, std::uint64_t retained_entries, bool lossless) {
     for (auto& item : m_acknowledged[service]) {
         if (!item.rolled_back && item.position.number > retained_entries) {
             item.rolled_back = true;
             ++m_rolled_back;
-            if (handover) {
-                report_violation("lost commit", "a planned handover of " + service + " discarded " +
+            if (lossless) {
+                report_violation("lost commit", "a promotion in " + service + " discarded " +
                                                     sql::to_string(item.position) + ", which is acknowledged");
             }
         }
     }
     std::erase_if(m_committed_writes, [&](const auto& item) {
         const bool discarded = item.second.number > retained_entries && m_service_by_write[item.first] == service;
-        if (discarded && handover) {
-            m_lost_by_handover.insert(item.first);
+        if (discarded && lossless) {
+            m_discarded_losslessly.insert(item.first);
         }
         return discarded;
     });
@@ -92,13 +92,14 @@
     if (found == m_committed_writes.end()) {
         // Committed, and rolled back by a promotion before the reply arrived.
         ++m_rolled_back;
-        if (m_lost_by_handover.contains(writes.front())) {
-            report_violation("lost commit", "write " + writes.front() + " of " + issued.target->service +
-                                                " is acknowledged, but a planned handover discarded it");
+        if (m_discarded_losslessly.contains(writes.front())) {
+            report_violation("lost commit", "write " + writes.front() + " of " + m_service_by_write[writes.front()] +
+                                                " is acknowledged, but a promotion discarded it");
         }
         return;
     }
-    m_acknowledged[issued.target->service].push_back({found->second, boot_clock::now(), issued.session, false});
+    m_acknowledged[m_service_by_write[writes.front()]].push_back(
+        {found->second, boot_clock::now(), issued.session, false});
 }
 
 std::string consistency_checker::summary() const {
--- a/tests/emulator/consistency_checker.hpp
+++ b/tests/emulator/consistency_checker.hpp
@@ -79,18 +79,19 @@
     /// Writes were committed to a service's log at `position`; checks that each
     /// is committed only once.
     void record_commit(const std::string& service, const std::vector<std::string>& writes, sql::log_position position);
-    /// A promotion discarded all log entries after the first `retained_entries`. If it is a planned handover, no
-    /// acknowledged commit may be among them.
-    void record_rollback(const std::string& service, std::uint64_t retained_entries, bool handover);
+    /// A promotion discarded all log entries after the first `retained_entries`. If it is `lossless`, which a planned
+    /// handover and any promotion of a service with synchronous replicas has to be, no acknowledged commit may be
+    /// among them.
+    void record_rollback(const std::string& service, std::uint64_t retained_entries, bool lossless);
 
     /// A caller received the success of the commit of these writes.
     void record_acknowledged_commit(const request& issued, const std::vector<std::string>& writes);
 
-    /// Checks a read against the freshness guarantee of its database;
+    /// Checks a read that `service` ran against the freshness guarantee of its database;
     /// `has_applied` returns whether the server that ran it has applied a position.
     template <typename HasApplied>
-    void check_read(const request& issued, HasApplied has_applied) {
-        const auto& acknowledged = m_acknowledged[issued.target->service];
+    void check_read(const request& issued, const std::string& service, HasApplied has_applied) {
+        const auto& acknowledged = m_acknowledged[service];
         for (const auto& item : acknowledged) {
             const auto bound = issued.target->reads == freshness::primary
                                    ? issued.begun_at
@@ -125,8 +126,8 @@
     std::map<std::string, sql::log_position, std::less<>> m_committed_writes;
     std::map<std::string, std::string, std::less<>> m_service_by_write;
     std::set<std::string, std::less<>> m_refused_writes;
-    /// Writes that a planned handover discarded, none of which may be acknowledged later.
-    std::set<std::string, std::less<>> m_lost_by_handover;
+    /// Writes that a lossless promotion discarded, none of which may be acknowledged later.
+    std::set<std::string, std::less<>> m_discarded_losslessly;
     std::size_t m_violations{0};
     std::size_t m_reads_checked{0};
     std::size_t m_successes{0};
--- a/tests/emulator/replicated_service.cpp
+++ b/tests/emulator/replicated_service.cpp
@@ -1,6 +1,9 @@
 #include "replicated_service.hpp"
 
 #include <algorithm>
+#include <cctype>
+#include <iomanip>
+#include <sstream>
 
 #include "accept_each.hpp"
 #include "cornellever/rpc/envelope.hpp"
@@ -16,6 +19,19 @@
 
 constexpr auto unlimited_statement_time = 4ms;
 
+/// Returns the text in quotes, with escape sequences for unprintable bytes.
+std::string printable(std::string_view text) {
+    std::ostringstream out;
+    for (const unsigned char item : text) {
+        if (std::isprint(item) != 0 && item != '\\') {
+            out << static_cast<char>(item);
+        } else {
+            out << "\\x" << std::hex << std::setw(2) << std::setfill('0') << static_cast<int>(item);
+        }
+    }
+    return "'" + out.str() + "'";
+}
+
 /// Where the server itself listens, behind its forwarder.
 tcp::endpoint server_endpoint(const tcp::endpoint& address) {
     return {address.address(), static_cast<unsigned short>(address.port() + 1000)};
@@ -59,6 +75,7 @@
 
 void emulated_server::crash_and_lose_log() {
     crash();
+    m_service.record_log_loss();
     m_log.clear();
     m_log_lost = is_primary();
 }
@@ -124,7 +141,15 @@
         if (client.hangs) {
             continue;
         }
-        const auto out = admitted ? process_line(client, std::move(*line)) : error_reply(client, "BUSY");
+        const auto log_length = m_log.size();
+        auto out = admitted ? process_line(client, std::move(*line)) : error_reply(client, "BUSY");
+        if (m_log.size() > log_length && m_service.synchronous_replicas > 0) {
+            const bool acknowledged = co_await m_service.await_synchronous_replicas(*this, m_log.size());
+            if (!m_running || m_started_at != started_at) {
+                break;
+            }
+            out = acknowledged ? std::move(out) : error_reply(client, "TIMEOUT");
+        }
         if (!client.unresponsive) {
             connection.write(out);
         }
@@ -198,7 +223,7 @@
     }
     const auto* issued = m_service.checker().find_request(id);
     if (issued == nullptr) {
-        m_service.checker().report_violation("unknown statement", m_id + " received " + id + " " + line);
+        m_service.checker().report_violation("unknown statement", m_id + " received " + printable(id + " " + line));
         return error_reply(client, "FAILED");
     }
     if (client.state == 'E') {
@@ -248,8 +273,8 @@
         matches = rest == expected && prepared != client.prepared.end() && prepared->second == issued.prepared;
     }
     if (!matches) {
-        m_service.checker().report_violation("altered statement",
-                                             issued.id + " was '" + issued.text + "' and arrived as '" + text + "'");
+        m_service.checker().report_violation("altered statement", issued.id + " was " + printable(issued.text) +
+                                                                      " and arrived as " + printable(text));
     }
     if (client.values != issued.values) {
         m_service.checker().report_violation("session variables",
@@ -276,7 +301,8 @@
     check_statement(client, issued, text);
     if (!writes) {
         replica_reads += is_primary() ? 0 : 1;
-        m_service.checker().check_read(issued, [this](sql::log_position at) { return has_applied(at); });
+        m_service.checker().check_read(issued, m_service.name(),
+                                       [this](sql::log_position at) { return has_applied(at); });
         return success_reply(client, issued, "row-" + issued.id + "-" + std::to_string(applied()));
     }
     if (client.state == 'T') {
--- a/tests/emulator/replicated_service.hpp
+++ b/tests/emulator/replicated_service.hpp
@@ -149,6 +149,10 @@
     /// Appends a commit to the log of the server `at`, from where it is replicated.
     void commit(emulated_server& at, std::vector<std::string> writes);
 
+    /// Waits until enough replicas have received the first `count` log entries of `at`. Returns false if this takes too
+    /// long, or if the server has ended or lost its leadership meanwhile, so that the last of them is not acknowledged.
+    asio::awaitable<bool> await_synchronous_replicas(const emulated_server& at, std::uint64_t count);
+
     /// Returns a random time from a quarter of `mean` to seven quarters, so that statements end in another order than
     /// they began.
     [[nodiscard]] std::chrono::milliseconds vary(std::chrono::milliseconds mean) {
@@ -159,7 +163,14 @@
     /// A fault that may cost commits, such as a crash or a partition, occurred.
     void record_hard_fault() { m_last_hard_fault_at = boot_clock::now(); }
 
+    /// A server lost its log, which synchronous replication does not cover beside the loss of a primary.
+    void record_log_loss() { m_last_log_loss_at = boot_clock::now(); }
+
     std::size_t max_connections{16};
+    /// Number of replicas that have to receive a commit before it is acknowledged.
+    int synchronous_replicas{0};
+    /// Called once, with the server of the next promotion order that is executed.
+    std::function<void(emulated_server& successor)> on_promotion_order;
     /// Called once, with the proxy that made the primary step down.
     std::function<void(const std::string& proxy)> on_step_down;
 
@@ -167,7 +178,7 @@
     asio::awaitable<void> complete_promotion(emulated_server& candidate, std::uint64_t token);
     asio::awaitable<void> replicate();
     void catch_up(emulated_server& replica);
-    [[nodiscard]] bool had_hard_fault() const;
+    [[nodiscard]] static bool is_recent(const std::optional<time_point>& fault_at);
 
     asio::io_context& m_io;
     consistency_checker& m_checker;
@@ -179,6 +190,7 @@
     std::uint64_t m_token{0};
     std::map<std::uint64_t, std::string> m_holders;
     std::optional<time_point> m_last_hard_fault_at;
+    std::optional<time_point> m_last_log_loss_at;
 };
 
 } // namespace cornellever::emulator
--- a/tests/emulator/replication.cpp
+++ b/tests/emulator/replication.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include "replicated_service.hpp"
 
@@ -14,6 +15,9 @@
 
 constexpr auto promotion_delay = 300ms;
 constexpr auto replication_period = 15ms;
+/// A commit that no replica receives within this time is not acknowledged.
+constexpr auto acknowledgement_timeout = 700ms;
+constexpr auto acknowledgement_poll_period = 2ms;
 /// A handover may lose commits for this long after a fault such as a crash or a partition, of which the longest lasts
 /// 10 s.
 constexpr auto hard_fault_effect = 15s;
@@ -92,14 +96,32 @@
         return false;
     }
     m_token = token;
+    if (const auto notify = std::exchange(on_promotion_order, nullptr)) {
+        notify(**found);
+    }
     if (!(*found)->is_primary()) {
         asio::co_spawn(m_io, complete_promotion(**found, token), asio::detached);
     }
     return true;
 }
 
-bool replicated_service::had_hard_fault() const {
-    return m_last_hard_fault_at && boot_clock::now() - *m_last_hard_fault_at < hard_fault_effect;
+bool replicated_service::is_recent(const std::optional<time_point>& fault_at) {
+    return fault_at && boot_clock::now() - *fault_at < hard_fault_effect;
+}
+
+asio::awaitable<bool> replicated_service::await_synchronous_replicas(const emulated_server& at, std::uint64_t count) {
+    const auto until = boot_clock::now() + acknowledgement_timeout;
+    const auto term = at.m_term;
+    while (at.m_running && at.is_primary() && at.m_term == term && boot_clock::now() < until) {
+        const auto received = std::ranges::count_if(m_servers, [&](const auto& item) {
+            return item.get() != &at && item->m_running && item->m_term == term && item->received() >= count;
+        });
+        if (received >= synchronous_replicas) {
+            co_return true;
+        }
+        co_await sleep_for(acknowledgement_poll_period);
+    }
+    co_return false;
 }
 
 asio::awaitable<void> replicated_service::complete_promotion(emulated_server& candidate, std::uint64_t token) {
@@ -107,7 +129,8 @@
     if (token < m_token || !candidate.m_running || candidate.is_primary()) {
         co_return;
     }
-    const bool handover = m_primary->m_stepped_down && !had_hard_fault();
+    const bool handover = m_primary->m_stepped_down && !is_recent(m_last_hard_fault_at);
+    const bool synchronous = synchronous_replicas > 0 && !is_recent(m_last_log_loss_at);
     candidate.m_term = ++m_term;
     // A promotion applies everything that was received.
     const auto now = boot_clock::now();
@@ -116,7 +139,7 @@
     }
     std::printf("%s is primary of %s in term %llu with %zu log entries\n", candidate.m_id.c_str(), m_name.c_str(),
                 static_cast<unsigned long long>(m_term), candidate.m_log.size());
-    m_checker.record_rollback(m_name, candidate.m_log.size(), handover);
+    m_checker.record_rollback(m_name, candidate.m_log.size(), handover || synchronous);
     m_primary->m_log_lost = false;
     m_primary->m_stepped_down = false;
     m_primary = &candidate;
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -31,7 +31,8 @@
     , m_databases{std::move(databases)}
     , m_pick_proxy{std::move(pick_proxy)}
     , m_on_disconnect{std::move(on_disconnect)}
-    , m_random{seed} {}
+    , m_random{seed}
+    , m_data_random{~seed} {}
 
 asio::awaitable<bool> caller::connect(tcp::endpoint proxy, const database& target_database) {
     m_connection.reset();
@@ -169,10 +170,25 @@
     for (const auto& [name, shape] : m_prepared) {
         if (shape.starts_with(write ? "WRITE" : "READ") && random_below(2) == 0) {
             prepared = shape;
-            return "EXECUTE " + name + " item" + std::to_string(random_below(40)) + (write ? " data" : "");
+            return "EXECUTE " + name + " item" + std::to_string(random_below(40)) + (write ? " " + data() : "");
         }
     }
-    return (write ? "WRITE item" : "READ item") + std::to_string(random_below(40)) + (write ? " data" : "");
+    return (write ? "WRITE item" : "READ item") + std::to_string(random_below(40)) + (write ? " " + data() : "");
+}
+
+/// Returns data of any bytes but CR LF, which ends a line.
+std::string caller::data() {
+    constexpr std::uint64_t max_bytes = 24;
+    constexpr std::string_view frequent{"\n\r \0", 4};
+    std::string out(m_data_random() % (max_bytes + 1), ' ');
+    for (auto& item : out) {
+        const auto drawn = m_data_random();
+        item = drawn % 3 == 0 ? frequent[drawn / 3 % frequent.size()] : static_cast<char>(drawn / 3 % 256);
+    }
+    for (auto at = out.find("\r\n"); at != std::string::npos; at = out.find("\r\n")) {
+        out[at] = '\n';
+    }
+    return out;
 }
 
 asio::awaitable<bool> caller::run_operation() {
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -51,6 +51,7 @@
     asio::awaitable<bool> run_transaction();
     asio::awaitable<bool> end_transaction(const std::vector<std::string>& writes);
     std::string statement(bool write, std::string& prepared);
+    std::string data();
     void record_outcome(const request& issued, const outcome& result, const std::vector<std::string>& writes);
     [[nodiscard]] std::uint64_t random_below(std::uint64_t limit) { return m_random() % limit; }
 
@@ -59,6 +60,7 @@
     balancer m_pick_proxy;
     disconnect_handler m_on_disconnect;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_data_random;
     std::unique_ptr<platform::line_socket> m_connection;
     tcp::endpoint m_proxy;
     const database* m_database{nullptr};
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -305,6 +305,7 @@
     }
     list_phase_faults();
     list_load_faults();
+    list_commit_faults();
 }
 
 const fault_kind& scenario::kind_named(std::string_view name) const {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -59,6 +59,11 @@
     TCLAP::ValueArg<int> replacements{
         "",       "replaced",  "rounds in which the primary of a service is replaced in series", false, 0,
         "number", command_line};
+    TCLAP::ValueArg<int> synchronous{
+        "",       "synchronous", "rounds in which a primary with synchronous replicas is replaced", false, 0,
+        "number", command_line};
+    TCLAP::ValueArg<int> routes{
+        "", "moved", "rounds in which a route is moved to another service and back", false, 0, "number", command_line};
     TCLAP::ValueArg<std::string> replay{
         "", "replay", "file of faults to inject instead of drawing them", false, "", "path", command_line};
     TCLAP::ValueArg<std::size_t> proxies{"", "proxies", "proxy processes", false, 5, "number", command_line};
@@ -79,6 +84,8 @@
                                       .overload_rounds = overloads.getValue(),
                                       .broken_rounds = breakages.getValue(),
                                       .replacement_rounds = replacements.getValue(),
+                                      .synchronous_rounds = synchronous.getValue(),
+                                      .route_rounds = routes.getValue(),
                                       .replay = replay.getValue(),
                                       .proxies = proxies.getValue(),
                                       .callers = callers.getValue()});
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -52,6 +52,8 @@
     , m_overload_random{m_settings.seed ^ 0x6f766572U}
     , m_broken_random{m_settings.seed ^ 0x62726f6bU}
     , m_replacement_random{m_settings.seed ^ 0x7265706cU}
+    , m_synchronous_random{m_settings.seed ^ 0x73796e63U}
+    , m_route_random{m_settings.seed ^ 0x726f7574U}
     , m_fault_file{m_settings.folder / "faults.txt"} {
     if (!m_settings.replay.empty()) {
         m_replayed = read_faults(m_settings.replay);
@@ -66,6 +68,7 @@
             addresses.push_back(make_endpoint(next_server++, 8100));
         }
         m_services.push_back(std::make_unique<replicated_service>(io, m_checker, name, addresses));
+        m_services.back()->synchronous_replicas = m_settings.synchronous_rounds > 0 ? 1 : 0;
         const std::string service{name};
         m_databases.push_back({service + "-strict", service, freshness::primary, 0ms});
         m_databases.push_back({service + "-bounded", service, freshness::bounded, 1500ms});
@@ -112,7 +115,8 @@
     for (const auto& item : m_databases) {
         Json::Value route;
         route["Host"] = item.name;
-        route["Service"] = item.service;
+        const auto moved = m_moved_routes.find(item.name);
+        route["Service"] = moved == m_moved_routes.end() ? item.service : moved->second;
         route["Kind"] = kinds.at(static_cast<std::size_t>(item.reads));
         route["TimeoutMs"] = 1200;
         route["TargetLatencyMs"] = 200;
@@ -124,7 +128,7 @@
         Json::Value service;
         service["Name"] = item->name();
         service["MaxConnections"] = static_cast<Json::UInt64>(item->max_connections);
-        service["SyncReplicas"] = 0;
+        service["SyncReplicas"] = item->synchronous_replicas;
         out["Services"].append(std::move(service));
     }
     out["Limits"]["TxIdleMs"] = 1500;
@@ -476,6 +480,7 @@
     }
     for (auto& item : m_services) {
         item->on_step_down = nullptr;
+        item->on_promotion_order = nullptr;
     }
     co_await sleep_for(recovery_time);
 }
@@ -547,6 +552,8 @@
         co_await run_overload_phase();
         co_await run_broken_phase();
         co_await run_replacement_phase();
+        co_await run_synchronous_phase();
+        co_await run_route_phase();
     } else {
         co_await run_replay(m_replayed);
     }
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -39,6 +39,11 @@
     int broken_rounds{0};
     /// Rounds in which the primary of a service is replaced in series while sessions read their own writes.
     int replacement_rounds{0};
+    /// Rounds in which a primary with synchronous replicas is replaced while replicas receive nothing, are unreachable
+    /// or drain. If there are any, all services have synchronous replicas.
+    int synchronous_rounds{0};
+    /// Rounds in which the route of a database is moved to another service and back while replicas are behind.
+    int route_rounds{0};
     /// File of faults to inject instead of drawing them.
     std::filesystem::path replay;
     std::size_t proxies{5};
@@ -65,6 +70,7 @@
     void list_independent_faults();
     void list_phase_faults();
     void list_load_faults();
+    void list_commit_faults();
     [[nodiscard]] const fault_kind& kind_named(std::string_view name) const;
     /// Injects a fault and appends it to the fault file.
     void inject(std::string_view kind, const fault_arguments& arguments);
@@ -82,6 +88,8 @@
     asio::awaitable<void> run_overload_phase();
     asio::awaitable<void> run_broken_phase();
     asio::awaitable<void> run_replacement_phase();
+    asio::awaitable<void> run_synchronous_phase();
+    asio::awaitable<void> run_route_phase();
     void start_caller(std::vector<database> databases, std::uint64_t seed);
     void start_readers_of_own_writes();
     void replace_primary(replicated_service& service, bool loses_commits);
@@ -141,6 +149,8 @@
     std::mt19937_64 m_overload_random;
     std::mt19937_64 m_broken_random;
     std::mt19937_64 m_replacement_random;
+    std::mt19937_64 m_synchronous_random;
+    std::mt19937_64 m_route_random;
     std::ofstream m_fault_file;
     /// The faults of the file that this run replays; empty if it draws its own.
     std::vector<fault_record> m_replayed;
@@ -148,6 +158,8 @@
     std::map<std::string, std::string> m_published;
     std::map<std::string, time_point> m_down_since;
     std::uint64_t m_config_version{10};
+    /// Databases whose routes were moved, and the services that they are routed to.
+    std::map<std::string, std::string> m_moved_routes;
     std::uint64_t m_replacements{0};
     time_point m_last_unplanned_fault_at{};
     bool m_stop_callers{false};
