Failover: every server that was removed may hold acknowledged commits

Cause, from the logs: the complete replica i-stock-1 was promoted while it drained, and left 2.1 s later, before i-stock-2 had received anything. The registry then named the crashed i-stock-0 as the primary again, so that was the server to replace. i-stock-1 was not among the removed servers that count, because it had led, and i-stock-2 was ordered, 77 commits behind.

Change: each server that is removed from the registry counts, whatever its role, except the one that is being replaced; a server that is registered again reports itself what it holds and does not count twice.

The unit test covers a primary that leaves and a server that comes back.

--- a/src/cornellever/cluster/control_primaries.ipp
+++ b/src/cornellever/cluster/control_primaries.ipp
@@ -195,7 +195,8 @@
     if (ended.event == "held_by_other") {
         return other_claim_pause;
     }
-    return ended.event == "all_leave" ? successor_wait : retry_pause;
+    const bool none_suitable = ended.event == "all_leave" || ended.event == "no_successor" || ended.event == "not_near";
+    return none_suitable ? successor_wait : retry_pause;
 }
 
 /// Replaces a primary. The primary of a service with synchronous replicas acknowledges commits until
--- a/src/cornellever/cluster/successor.hpp
+++ b/src/cornellever/cluster/successor.hpp
@@ -23,8 +23,8 @@
     bool is_replica{false};
     /// False if the replica did not respond in time; `received` and `is_primary` are then unknown.
     bool answered{true};
-    /// False if the replica has been removed from the registry. `received` is then the highest position
-    /// of the primary's log that was known when the replica was removed.
+    /// False if the server has been removed from the registry. `received` is then the highest position
+    /// of the primary's log that was known when the server was removed.
     bool registered{true};
 };
 
--- a/src/cornellever/cluster/traffic_bridge.hpp
+++ b/src/cornellever/cluster/traffic_bridge.hpp
@@ -257,7 +257,7 @@
                 reports.push_back({.id = id, .received = {}, .draining = draining, .answered = false});
             }
         }
-        for (const auto& [id, log_end] : backends.removed_replicas()) {
+        for (const auto& [id, log_end] : backends.removed_servers()) {
             if (id != old) {
                 reports.push_back({.id = id, .received = log_end, .answered = false, .registered = false});
             }
--- a/src/cornellever/core/event.cpp
+++ b/src/cornellever/core/event.cpp
@@ -40,7 +40,7 @@
     event_info{event::handover_done, "handover.done", severity::warning},
     event_info{event::handover_given_up, "handover.given_up", severity::warning},
     event_info{event::claim_checked, "promotion.claim_checked", severity::info},
-    event_info{event::replica_removed, "replica.removed", severity::info},
+    event_info{event::server_removed, "server.removed", severity::info},
     event_info{event::pool_exhausted, "pool.exhausted", severity::warning},
     event_info{event::connection_broken, "pool.connection_broken", severity::warning},
     event_info{event::transaction_abandoned, "transaction.abandoned", severity::warning},
--- a/src/cornellever/core/event.hpp
+++ b/src/cornellever/core/event.hpp
@@ -55,8 +55,8 @@
     handover_given_up = 1216,
     /// A proxy read the claim on a service before it writes its own.
     claim_checked = 1217,
-    /// A replica was removed from the registry and may have held commits that no other server is known to have.
-    replica_removed = 1218,
+    /// A server was removed from the registry and may have held commits that no other server is known to have.
+    server_removed = 1218,
     // Connection pools, sessions, requests and logging.
     pool_exhausted = 1301,
     connection_broken = 1302,
--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -129,10 +129,10 @@
     /// servers are queried again.
     [[nodiscard]] std::optional<std::chrono::milliseconds> no_successor_retry_after() const;
 
-    /// Returns the replicas that were removed from the registry and may have held commits that no registered replica is
+    /// Returns the servers that were removed from the registry and may have held commits that no registered replica is
     /// known to have received. The position is the highest known of the primary's log at the time of the removal.
-    [[nodiscard]] const std::map<std::string, sql::log_position, std::less<>>& removed_replicas() const noexcept {
-        return m_removed_replicas;
+    [[nodiscard]] const std::map<std::string, sql::log_position, std::less<>>& removed_servers() const noexcept {
+        return m_removed_servers;
     }
 
     /// Records the log position that `id` had reached as the primary according to a peer.
@@ -339,7 +339,7 @@
     std::size_t m_proxies{1};
     std::map<std::string, std::unique_ptr<entry>, std::less<>> m_entries;
     std::vector<std::unique_ptr<entry>> m_retired;
-    std::map<std::string, sql::log_position, std::less<>> m_removed_replicas;
+    std::map<std::string, sql::log_position, std::less<>> m_removed_servers;
     account_shares m_shares;
     wait_queue<waiter> m_wait_queue;
     read_floor m_read_floor;
--- a/src/cornellever/routing/service_pool.ipp
+++ b/src/cornellever/routing/service_pool.ipp
@@ -12,6 +12,7 @@
         const bool fresh = at == nullptr;
         if (fresh) {
             at = std::make_unique<entry>();
+            m_removed_servers.erase(item->id);
             at->leadership_valid_after = restarted.contains(item->id) ? now : time_point{};
         }
         const bool claims_primary = item->role == server_role::primary && (fresh || at->server.role != item->role);
@@ -64,23 +65,20 @@
     return out;
 }
 
-/// Records a replica that was removed from the registry, and how much of the log it may have held.
+/// Records a server that was removed from the registry, and how much of the log it may have held.
 template <link_connector Connector>
 void service_pool<Connector>::note_removed(const entry& at) {
-    const auto& id = at.server.id;
-    const bool led = m_high_water_mark.highest_position_of(id) || at.server.role == server_role::primary;
-    const auto log_end = known_log_end();
-    if (!led && id != m_primary && log_end) {
-        m_removed_replicas.insert_or_assign(id, *log_end);
-        log_event(event::replica_removed,
-                  "service=" + m_service + " server=" + id + " log_end=" + sql::to_string(*log_end));
+    if (const auto log_end = known_log_end()) {
+        m_removed_servers.insert_or_assign(at.server.id, *log_end);
+        log_event(event::server_removed,
+                  "service=" + m_service + " server=" + at.server.id + " log_end=" + sql::to_string(*log_end));
     }
 }
 
-/// Discards the removed replicas whose log cannot be longer than that of a registered server.
+/// Discards the removed servers whose log cannot be longer than that of a registered replica.
 template <link_connector Connector>
 void service_pool<Connector>::forget_covered_removals() {
-    std::erase_if(m_removed_replicas, [&](const auto& removed) {
+    std::erase_if(m_removed_servers, [&](const auto& removed) {
         return std::ranges::any_of(m_entries, [&](const auto& item) {
             const auto& applied = item.second->progress.applied();
             return item.first != m_primary && applied && *applied >= removed.second;
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -501,7 +501,7 @@
 
 // Guards against a promotion that loses acknowledged commits because the only replica that had received them has left
 // the registry.
-BOOST_AUTO_TEST_CASE(a_removed_replica_counts_until_its_log_is_covered) {
+BOOST_AUTO_TEST_CASE(a_removed_server_counts_until_its_log_is_covered) {
     proxy_in_memory proxy;
     cluster::traffic_bridge bridge{proxy.io.get_executor(), proxy.host};
     auto& pool = proxy.host.pool_for("stock");
@@ -514,11 +514,12 @@
     without_r1.version = 2;
     without_r1.servers.erase("r1");
     proxy.host.update(without_r1);
-    const auto removed = [&] {
+    const auto removed = [&](const std::string& id = "r1", const std::string& old = "p") {
         std::optional<cluster::replica_report> out;
         run_coroutine(proxy.io, [&]() -> asio::awaitable<void> {
-            const auto reports = co_await bridge.query_replicas("stock", "p");
-            const auto found = std::ranges::find(reports, "r1", &cluster::replica_report::id);
+            auto query = bridge.query_replicas("stock", old);
+            const auto reports = co_await std::move(query);
+            const auto found = std::ranges::find(reports, id, &cluster::replica_report::id);
             out = found == reports.end() ? std::nullopt : std::optional{*found};
         });
         proxy.io.restart();
@@ -533,7 +534,22 @@
     without_r1.version = 3;
     proxy.host.update(without_r1);
     BOOST_TEST(!removed().has_value());
-    BOOST_TEST(pool.removed_replicas().empty());
+    BOOST_TEST(pool.removed_servers().empty());
+    // A server that is registered again reports itself what it holds.
+    without_r1.version = 4;
+    without_r1.servers.erase("r2");
+    proxy.host.update(without_r1);
+    BOOST_TEST(pool.removed_servers().contains("r2"));
+    without_r1.version = 5;
+    without_r1.servers.emplace("r2", three_servers().servers.at("r2"));
+    proxy.host.update(without_r1);
+    BOOST_TEST(!pool.removed_servers().contains("r2"));
+    // A primary that leaves without a successor counts as well, unless it is the one that is replaced.
+    without_r1.version = 6;
+    without_r1.servers.erase("p");
+    proxy.host.update(without_r1);
+    BOOST_TEST(removed("p", "").has_value());
+    BOOST_TEST(!removed("p", "p").has_value());
 }
 
 // Guards against writes that wait for their deadline although no server can replace the lost primary.
