--- a/tests/soak/commit_phases.cpp
+++ b/tests/soak/commit_phases.cpp
@@ -1,9 +1,11 @@
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "scenario.hpp"
 
 // Rounds in which acknowledged commits are in few logs: services with synchronous replicas whose primary is replaced,
-// and sessions whose commits are in the logs of two services.
+// and sessions whose commits are in the logs of two services; and rounds in which all servers of a service leave.
 
 namespace cornellever::soak {
 
@@ -30,6 +32,12 @@
             });
         };
     });
+    // New connections work, so the guarantees for planned operations hold.
+    add("store connections silenced", true, [this](arguments_view) {
+        for (auto& item : m_proxies) {
+            item->store_forwarder().blackhole_open_connections();
+        }
+    });
     add("route moved", true, [this](arguments_view arguments) {
         const auto& found =
             *std::ranges::find_if(m_databases, [&](const auto& item) { return item.name == arguments.target; });
@@ -106,4 +114,24 @@
     }
 }
 
+/// The open connections of all proxies to the store go silent, and all servers of a service drain one after the other,
+/// so that none of them can take over from the primary.
+asio::awaitable<void> scenario::run_drain_phase() {
+    const auto draw = [this](std::uint64_t limit) { return m_drain_random() % limit; };
+    constexpr std::uint64_t until_replaced = 11'000;
+    for (int round = 0; round < m_settings.drain_rounds; ++round) {
+        auto& service = *m_services[draw(m_services.size())];
+        std::vector<std::string> ids;
+        std::ranges::transform(service.servers(), std::back_inserter(ids), [](const auto& item) { return item->id(); });
+        std::ranges::shuffle(ids, m_drain_random);
+        inject("store connections silenced", {});
+        co_await sleep_for(std::chrono::milliseconds{draw(500)});
+        for (const auto& id : ids) {
+            inject("server drained", {id, {}});
+            co_await sleep_for(std::chrono::milliseconds{300 + draw(900)});
+        }
+        co_await sleep_for(std::chrono::milliseconds{until_replaced + draw(2000)});
+    }
+}
+
 } // namespace cornellever::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -64,6 +64,8 @@
         "number", command_line};
     TCLAP::ValueArg<int> routes{
         "", "moved", "rounds in which a route is moved to another service and back", false, 0, "number", command_line};
+    TCLAP::ValueArg<int> drains{"",       "drained",   "rounds in which all servers of a service drain", false, 0,
+                                "number", command_line};
     TCLAP::ValueArg<std::string> replay{
         "", "replay", "file of faults to inject instead of drawing them", false, "", "path", command_line};
     TCLAP::ValueArg<std::size_t> proxies{"", "proxies", "proxy processes", false, 5, "number", command_line};
@@ -86,6 +88,7 @@
                                       .replacement_rounds = replacements.getValue(),
                                       .synchronous_rounds = synchronous.getValue(),
                                       .route_rounds = routes.getValue(),
+                                      .drain_rounds = drains.getValue(),
                                       .replay = replay.getValue(),
                                       .proxies = proxies.getValue(),
                                       .callers = callers.getValue()});
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -54,6 +54,7 @@
     , m_replacement_random{m_settings.seed ^ 0x7265706cU}
     , m_synchronous_random{m_settings.seed ^ 0x73796e63U}
     , m_route_random{m_settings.seed ^ 0x726f7574U}
+    , m_drain_random{m_settings.seed ^ 0x64726e64U}
     , m_fault_file{m_settings.folder / "faults.txt"} {
     if (!m_settings.replay.empty()) {
         m_replayed = read_faults(m_settings.replay);
@@ -554,6 +555,7 @@
         co_await run_replacement_phase();
         co_await run_synchronous_phase();
         co_await run_route_phase();
+        co_await run_drain_phase();
     } else {
         co_await run_replay(m_replayed);
     }
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -44,6 +44,8 @@
     int synchronous_rounds{0};
     /// Rounds in which the route of a database is moved to another service and back while replicas are behind.
     int route_rounds{0};
+    /// Rounds in which all servers of a service drain while the connections to the store are silent.
+    int drain_rounds{0};
     /// File of faults to inject instead of drawing them.
     std::filesystem::path replay;
     std::size_t proxies{5};
@@ -90,6 +92,7 @@
     asio::awaitable<void> run_replacement_phase();
     asio::awaitable<void> run_synchronous_phase();
     asio::awaitable<void> run_route_phase();
+    asio::awaitable<void> run_drain_phase();
     void start_caller(std::vector<database> databases, std::uint64_t seed);
     void start_readers_of_own_writes();
     void replace_primary(replicated_service& service, bool loses_commits);
@@ -151,6 +154,7 @@
     std::mt19937_64 m_replacement_random;
     std::mt19937_64 m_synchronous_random;
     std::mt19937_64 m_route_random;
+    std::mt19937_64 m_drain_random;
     std::ofstream m_fault_file;
     /// The faults of the file that this run replays; empty if it draws its own.
     std::vector<fault_record> m_replayed;
