Soak: a commit is rolled back if the new primary's log does not hold it

The checker took a commit for kept if the promoted log had as many entries. Trace: i-stock-1 led term 2 and crashed at 9.2 s; i-stock-2 led term 3 from entry 453 on, acknowledged 3.454 and crashed at 9.9 s; i-stock-1 came back at 10.1 s with its own log, whose entry 454 is of term 2, and was promoted for term 4 with 454 entries. It now compares term and number of the entry in the promoted log.

That is stricter elsewhere: a promotion that may lose nothing (a handover, or any with synchronous replicas) is now also caught if it replaces a commit by another one of the same number.

--- a/tests/emulator/consistency_checker.cpp
+++ b/tests/emulator/consistency_checker.cpp
@@ -64,9 +64,10 @@
     }
 }
 
-void consistency_checker::record_rollback(const std::string& service, std::uint64_t retained_entries, bool lossless) {
+void consistency_checker::record_rollback(const std::string& service,
+                                          const std::function<bool(sql::log_position)>& holds, bool lossless) {
     for (auto& item : m_acknowledged[service]) {
-        if (!item.rolled_back && item.position.number > retained_entries) {
+        if (!item.rolled_back && !holds(item.position)) {
             item.rolled_back = true;
             ++m_rolled_back;
             if (lossless) {
@@ -76,7 +77,7 @@
         }
     }
     std::erase_if(m_committed_writes, [&](const auto& item) {
-        const bool discarded = item.second.number > retained_entries && m_service_by_write[item.first] == service;
+        const bool discarded = m_service_by_write[item.first] == service && !holds(item.second);
         if (discarded && lossless) {
             m_discarded_losslessly.insert(item.first);
         }
--- a/tests/emulator/consistency_checker.hpp
+++ b/tests/emulator/consistency_checker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -79,10 +80,11 @@
     /// Writes were committed to a service's log at `position`; checks that each
     /// is committed only once.
     void record_commit(const std::string& service, const std::vector<std::string>& writes, sql::log_position position);
-    /// A promotion discarded all log entries after the first `retained_entries`. If it is `lossless`, which a planned
-    /// handover and any promotion of a service with synchronous replicas has to be, no acknowledged commit may be
-    /// among them.
-    void record_rollback(const std::string& service, std::uint64_t retained_entries, bool lossless);
+    /// A promotion discarded all log entries that the new primary's log does not hold according to `holds`. If it is
+    /// `lossless`, which a planned handover and any promotion of a service with synchronous replicas has to be, no
+    /// acknowledged commit may be among them.
+    void record_rollback(const std::string& service, const std::function<bool(sql::log_position)>& holds,
+                         bool lossless);
 
     /// A caller received the success of the commit of these writes.
     void record_acknowledged_commit(const request& issued, const std::vector<std::string>& writes);
--- a/tests/emulator/replication.cpp
+++ b/tests/emulator/replication.cpp
@@ -139,7 +139,10 @@
     }
     std::printf("%s is primary of %s in term %llu with %zu log entries\n", candidate.m_id.c_str(), m_name.c_str(),
                 static_cast<unsigned long long>(m_term), candidate.m_log.size());
-    m_checker.record_rollback(m_name, candidate.m_log.size(), handover || synchronous);
+    const auto holds = [&](sql::log_position at) {
+        return at.number <= candidate.m_log.size() && candidate.m_log[at.number - 1].term == at.term;
+    };
+    m_checker.record_rollback(m_name, holds, handover || synchronous);
     m_primary->m_log_lost = false;
     m_primary->m_stepped_down = false;
     m_primary = &candidate;
