--- a/src/cornellever/session/statement_outcomes.ipp
+++ b/src/cornellever/session/statement_outcomes.ipp
@@ -104,9 +104,9 @@
         return outcome::answered;
     }
     if (reply->ok()) {
-        if (reply->position) {
-            run.session.last_commits.insert_or_assign(run.route.service, *reply->position);
-            backends.note_commit(backend, held->sent_at, reply->position);
+        if (const auto& position = reply->position) {
+            run.session.last_commits.insert_or_assign(run.route.service, *position);
+            backends.note_commit(backend, held->sent_at, position);
         }
         out = *reply;
         out.committed_at = run.route.service;
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -88,10 +88,10 @@
     if (reply && reply->ok()) {
         log_served(*tx.backends, held, run, tx.floor);
         out = *reply;
-        if (tx.wrote && reply->position) {
-            run.session.last_commits.insert_or_assign(run.route.service, *reply->position);
+        if (const auto& position = reply->position; tx.wrote && position) {
+            run.session.last_commits.insert_or_assign(run.route.service, *position);
             out.committed_at = run.route.service;
-            tx.backends->note_commit(backend, held->sent_at, reply->position);
+            tx.backends->note_commit(backend, held->sent_at, position);
         }
     } else if (!tx.wrote || (reply && sql::server_did_not_run(reply->why())) ||
                (!reply && reply.error() == routing::link_failure::not_sent)) {
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -209,9 +209,9 @@
     }
     const bool alone = !commit && at_peer.state == sql::transaction_state::idle;
     const bool committed = (commit && at_peer.wrote) || (alone && writes(active, request));
-    if (committed && out->ok() && out->position) {
+    if (const auto& position = out->position; committed && out->ok() && position) {
         const auto& service = out->committed_at.empty() ? at_peer.service : out->committed_at;
-        active.state.last_commits.insert_or_assign(service, *out->position);
+        active.state.last_commits.insert_or_assign(service, *position);
     }
     at_peer.state = out->state;
     co_return out;
