Prepared statements: names at servers contain nothing of a caller's text

What callers saw: a caller that prepared the shape `put WRITE 2c1` changed what other callers' EXECUTEs of the shape `put` ran on the same connection, and these were acknowledged. With `put 9z9` a statement ran on another item, or was refused until its time was over.

Cause: the name of a prepared statement at a server was "r_" or "w_" and the shape. A shape may hold blanks, and a name ends at a blank, so the server read a part of the shape as the access mode, the shape or the item.

Fix: the statements prepared on a connection are numbered, and the number in base 36 is the name. A number is used once on a connection, so a refused PREPARE cannot leave a name to another statement. At most 256 statements and 1 MiB of shapes stay on a connection, which is reset then.

The loopback server of the tests prepares, executes and refuses by name as the protocol says, instead of looking for the proxy's prefix.

--- a/src/cornellever/session/connection_session_state.cpp
+++ b/src/cornellever/session/connection_session_state.cpp
@@ -1,6 +1,9 @@
 #include "cornellever/session/connection_session_state.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
 
 namespace cornellever::session {
 
@@ -16,16 +19,35 @@
     return found != connection.values.end() && found->second == value;
 }
 
-} // namespace
+/// Bounds what the prepared statements of a connection take in memory, here and at the server.
+constexpr std::size_t max_prepared_statements = 256;
+constexpr std::size_t max_prepared_bytes = std::size_t{1024} * 1024;
+
+bool has_room_for(const connection_session_state& connection, const prepared_statement& needed) {
+    auto bytes = needed.shape.size();
+    for (const auto& [prepared, name] : connection.prepared) {
+        bytes += prepared.shape.size();
+    }
+    return connection.prepared.empty() ||
+           (connection.prepared.size() < max_prepared_statements && bytes <= max_prepared_bytes);
+}
 
-std::string prepared_name(const prepared_statement& prepared) {
-    return (prepared.access_mode == sql::access::read ? "r_" : "w_") + prepared.shape;
+/// Returns a name that was not used on the connection before. The first names have one character, so that an EXECUTE
+/// is not longer than that of its caller.
+std::string next_name(connection_session_state& connection) {
+    constexpr int base = 36;
+    std::array<char, std::numeric_limits<std::uint64_t>::digits> digits{};
+    const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), connection.used_names++, base);
+    return {digits.data(), written.ptr};
 }
 
+} // namespace
+
 std::vector<sql::statement> plan_replay(const session_state& session, connection_session_state& connection,
                                         const prepared_statement* needed_statement) {
     std::vector<sql::statement> out;
-    if (has_foreign_value(session, connection)) {
+    const bool prepares = needed_statement != nullptr && !connection.prepared.contains(*needed_statement);
+    if (has_foreign_value(session, connection) || (prepares && !has_room_for(connection, *needed_statement))) {
         out.push_back({.kind = sql::statement_kind::reset});
         connection.values.clear();
         connection.prepared.clear();
@@ -36,9 +58,10 @@
             connection.values.insert_or_assign(name, value);
         }
     }
-    if (needed_statement != nullptr && connection.prepared.insert(prepared_name(*needed_statement)).second) {
+    if (needed_statement != nullptr && !connection.prepared.contains(*needed_statement)) {
+        const auto& name = connection.prepared.emplace(*needed_statement, next_name(connection)).first->second;
         out.push_back({.kind = sql::statement_kind::prepare,
-                       .name = prepared_name(*needed_statement),
+                       .name = name,
                        .access_mode = needed_statement->access_mode,
                        .text = needed_statement->shape});
     }
--- a/src/cornellever/session/connection_session_state.hpp
+++ b/src/cornellever/session/connection_session_state.hpp
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,18 +15,18 @@
 /// values and no others.
 struct connection_session_state {
     std::map<std::string, std::string, std::less<>> values;
-    /// Names of the prepared statements on the connection. A name is derived from the statement (see `prepared_name`),
-    /// so that sessions share equal statements.
-    std::set<std::string, std::less<>> prepared;
+    /// The names under which statements are prepared on the connection. Sessions share equal statements. A name is used
+    /// for one statement only, so that a refused PREPARE never leaves its name to another statement, and contains
+    /// nothing of what callers send.
+    std::map<prepared_statement, std::string> prepared;
+    /// Number of names that were used on the connection.
+    std::uint64_t used_names{0};
 };
 
-/// Returns the name under which a statement is prepared on backend connections. The name is derived from the
-/// statement's access mode and shape, because different callers may give the same name to different statements.
-[[nodiscard]] std::string prepared_name(const prepared_statement& prepared);
-
 /// Returns the statements that prepare a connection for a session: they set exactly the session's values and, unless
-/// `needed_statement` is null, prepare that statement. Updates `connection` to the resulting state. If the connection
-/// has a value that the session has not set, a reset is required, which also drops all prepared statements.
+/// `needed_statement` is null, prepare that statement. Updates `connection` to the resulting state. A reset, which also
+/// drops all prepared statements, is required if the connection has a value that the session has not set, or if it has
+/// no room for a further prepared statement.
 [[nodiscard]] std::vector<sql::statement> plan_replay(const session_state& session,
                                                       connection_session_state& connection,
                                                       const prepared_statement* needed_statement);
--- a/src/cornellever/session/session_state.hpp
+++ b/src/cornellever/session/session_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +20,8 @@
 struct prepared_statement {
     sql::access access_mode{sql::access::read};
     std::string shape;
+
+    friend auto operator<=>(const prepared_statement&, const prepared_statement&) = default;
 };
 
 /// State of a caller's session that persists between statements. The proxy restores the values and prepared statements
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -112,7 +112,7 @@
     [[nodiscard]] std::optional<sql::reply> abort_unpermitted(transaction& tx, const statement_run& run);
     sql::reply fail_transaction(transaction& tx, const statement_run& run, std::string_view reason);
     sql::reply finish_commit(transaction& tx, const statement_run& run, const routing::link_reply& reply);
-    [[nodiscard]] static sql::command command_of(const statement_run& run);
+    [[nodiscard]] static sql::command command_of(const statement_run& run, const connection_session_state& connection);
     [[nodiscard]] routing::connection_request pool_request_for(const pool& backends, const statement_run& run,
                                                                bool needs_primary) const;
     void log_served(pool& backends, const lease& held, const statement_run& run,
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -33,10 +33,11 @@
 }
 
 template <routing::link_connector Connector>
-sql::command statement_engine<Connector>::command_of(const statement_run& run) {
+sql::command statement_engine<Connector>::command_of(const statement_run& run,
+                                                     const connection_session_state& connection) {
     sql::command out{.request_id = run.request.id, .what = run.request.what};
     if (run.prepared != nullptr) {
-        out.what.name = prepared_name(*run.prepared);
+        out.what.name = connection.prepared.at(*run.prepared);
     }
     return out;
 }
@@ -181,7 +182,7 @@
         out.push_back({.what = std::move(item)});
     }
     reply_index = out.size();
-    out.push_back(command_of(run));
+    out.push_back(command_of(run, held->memory));
     if (run.writes()) {
         out.push_back(sql::proxy_command(sql::statement_kind::begin));
     } else if (primed) {
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -132,7 +132,7 @@
         batch.push_back({.what = std::move(item)});
     }
     const auto reply_index = batch.size();
-    batch.push_back(command_of(run));
+    batch.push_back(command_of(run, held->memory));
     tx.wrote = tx.wrote || run.writes();
     if (commit) {
         held->primed = false;
--- a/src/cornellever/sql/statement.hpp
+++ b/src/cornellever/sql/statement.hpp
@@ -36,8 +36,8 @@
     std::string name{};
     /// The access mode of a prepared statement (`prepare`).
     access access_mode{access::read};
-    /// The value (`set`), the statement's shape, which is a word that the proxy passes on without interpreting it
-    /// (`prepare`), or the operands exactly as the caller wrote them (`read`, `write`, `execute`).
+    /// The value (`set`), the statement's shape (`prepare`), or the operands (`read`, `write`, `execute`), exactly as
+    /// the caller wrote them. They may contain blanks and any other bytes but CR LF.
     std::string text{};
 };
 
--- a/tests/platform/loopback_server.hpp
+++ b/tests/platform/loopback_server.hpp
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
+#include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cornellever/core/asio.hpp"
@@ -9,8 +13,23 @@
 
 namespace cornellever::test {
 
+/// A callers' statement that a server has run.
+struct executed_statement {
+    std::string id;
+    /// The statement as its caller would have sent it without preparing it. For EXECUTE: the access mode and the shape
+    /// under which the name was prepared, a line end, and the operands.
+    std::string text;
+    /// The values set on the connection.
+    std::map<std::string, std::string> values;
+
+    friend bool operator==(const executed_statement&, const executed_statement&) = default;
+    friend std::ostream& operator<<(std::ostream& out, const executed_statement& what) {
+        return out << what.id << ": " << what.text.substr(0, 200) << " with " << what.values.size() << " values";
+    }
+};
+
 /// A backend server on loopback that implements the platform's statement protocol in memory and records the callers'
-/// statements that it receives.
+/// statements that it receives. Closes a connection on which it receives a message of more than 1 MiB.
 class loopback_server {
 public:
     loopback_server(asio::io_context& io, std::string service, std::string id, bool is_primary)
@@ -25,10 +44,26 @@
     [[nodiscard]] tcp::endpoint address() const { return m_acceptor.local_endpoint(); }
     /// The callers' statements in the order of their arrival: this server's id, then the line.
     std::vector<std::string> caller_statements;
+    /// The callers' statements that were run, in their order.
+    std::vector<executed_statement> executed;
+    /// The number of statements that were refused because no statement is prepared under their name.
+    int unknown_names{0};
+    /// The number of messages that were longer than 1 MiB.
+    int long_messages{0};
+    /// The longest name under which a statement was prepared.
+    std::size_t longest_name{0};
+    /// Refuses to prepare statements of this shape.
+    std::string refused_shape;
 
 private:
+    static constexpr std::size_t max_message_bytes = std::size_t{1024} * 1024;
+    static constexpr std::size_t max_row_bytes = 64;
+
     struct session {
         char state{'I'};
+        std::map<std::string, std::string> values;
+        /// Access mode and shape by name.
+        std::map<std::string, std::string> prepared;
     };
 
     asio::awaitable<void> accept() {
@@ -50,6 +85,10 @@
                 co_return;
             }
             const auto& line = *got;
+            if (line.size() + 2 > max_message_bytes) {
+                ++long_messages;
+                co_return;
+            }
             if (line.starts_with("STARTUP ")) {
                 const bool accepted = line.starts_with("STARTUP " + m_service + " ") && line.ends_with(" " + m_id);
                 connection.write(accepted ? "READY I 1.10\r\n" : "ERROR MISROUTED " + m_id + "\r\n");
@@ -62,29 +101,86 @@
         }
     }
 
+    /// Removes the first word from `rest` and returns it.
+    static std::string next_word(std::string& rest) {
+        const auto blank = rest.find(' ');
+        auto word = rest.substr(0, blank);
+        rest = blank == std::string::npos ? std::string{} : rest.substr(blank + 1);
+        return word;
+    }
+
+    std::string refuse(session& current, std::string_view code) const {
+        current.state = current.state == 'I' ? 'I' : 'E';
+        return "ERROR " + std::string{code} + " " + m_id + "\r\n" + ready(current);
+    }
+
     std::string reply_to(const std::string& line, session& current) {
-        const auto word_at = line.find(' ', line.find(' ') + 1) + 1;
-        auto text = line.substr(word_at);
-        const bool from_proxy = line.starts_with("QUERY - ");
+        auto text = line;
+        next_word(text);
+        const auto id = next_word(text);
         if (text.starts_with("AFTER ")) {
-            text = text.substr(text.find(' ', 6) + 1);
+            next_word(text);
+            next_word(text);
         }
-        std::string out;
-        if (text == "BEGIN" && !m_is_primary) {
-            return "ERROR READONLY " + m_id + "\r\n" + ready(current);
+        auto rest = text;
+        const auto word = next_word(rest);
+        if (current.state == 'E' && word != "ROLLBACK" && word != "COMMIT") {
+            return refuse(current, "MALFORMED");
         }
-        if (text.starts_with("BEGIN")) {
-            current.state = 'T';
-        } else if (text == "ROLLBACK" || text == "COMMIT") {
-            m_number += text == "COMMIT" ? 1 : 0;
+        if (id == "-") {
+            return reply_to_proxy(word, rest, current);
+        }
+        std::string row;
+        if (word == "COMMIT") {
+            ++m_number;
             current.state = 'I';
-        } else if (text.starts_with("READ ") || text.starts_with("EXECUTE r_")) {
-            out = "ROW row-of-" + text.substr(text.rfind(' ') + 1) + "\r\n";
-        } else if (text.starts_with("WRITE ") || text.starts_with("EXECUTE w_")) {
+        } else if (word == "EXECUTE") {
+            const auto found = current.prepared.find(next_word(rest));
+            if (found == current.prepared.end()) {
+                ++unknown_names;
+                return refuse(current, "NOSTMT");
+            }
+            text = found->second + "\n" + rest;
+        }
+        if (text.starts_with("WRITE ")) {
+            if (!m_is_primary) {
+                return refuse(current, "READONLY");
+            }
             m_number += current.state == 'I' ? 1 : 0;
+        } else if (text.starts_with("READ ")) {
+            row = "ROW row-of-" + rest.substr(rest.rfind(' ') + 1, max_row_bytes) + "\r\n";
+        } else if (word != "COMMIT") {
+            return refuse(current, "MALFORMED");
+        }
+        executed.push_back({id, text, current.values});
+        return row + "COMPLETE sig." + std::to_string(++m_signatures) + "\r\n" + ready(current);
+    }
+
+    /// Returns the reply to a statement that a proxy itself issued.
+    std::string reply_to_proxy(const std::string& word, std::string rest, session& current) {
+        if (word == "BEGIN") {
+            if (rest != "READ" && !m_is_primary) {
+                return refuse(current, "READONLY");
+            }
+            current.state = 'T';
+        } else if (word == "ROLLBACK") {
+            current.state = 'I';
+        } else if (word == "SET") {
+            const auto name = next_word(rest);
+            current.values[name] = rest;
+        } else if (word == "PREPARE") {
+            const auto name = next_word(rest);
+            const bool valid = rest.starts_with("READ ") || rest.starts_with("WRITE ");
+            if (!valid || rest.substr(rest.find(' ') + 1) == refused_shape) {
+                return refuse(current, "MALFORMED");
+            }
+            longest_name = std::max(longest_name, name.size());
+            current.prepared[name] = rest;
+        } else if (word == "RESET") {
+            current.values.clear();
+            current.prepared.clear();
         }
-        return out + "COMPLETE " + (from_proxy ? std::string{"-"} : "sig." + std::to_string(++m_signatures)) + "\r\n" +
-               ready(current);
+        return "COMPLETE -\r\n" + ready(current);
     }
 
     [[nodiscard]] std::string ready(const session& current) const {
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -199,12 +199,48 @@
     BOOST_TEST((plan[2].kind == sql::statement_kind::prepare));
 }
 
-// Guards against callers that prepare different statements under the same name and
-// run each other's.
-BOOST_AUTO_TEST_CASE(a_prepared_statement_is_named_after_its_access_mode_and_shape) {
-    const session::prepared_statement reads{sql::access::read, "q1"};
-    const session::prepared_statement writes{sql::access::write, "q1"};
-    BOOST_TEST(session::prepared_name(reads) != session::prepared_name(writes));
+// Guards against callers that prepare different statements under the same name and run each other's, and against a
+// caller's text in a name at a server.
+BOOST_AUTO_TEST_CASE(statements_are_prepared_under_different_names_that_are_not_taken_from_callers) {
+    const session::session_state state{.id = 1};
+    session::connection_session_state memory;
+    std::set<std::string> names;
+    for (const auto mode : {sql::access::read, sql::access::write}) {
+        for (const auto* shape : {"q1", "q1 WRITE q2", " q1", "q1 "}) {
+            const session::prepared_statement needed{mode, shape};
+            const auto plan = session::plan_replay(state, memory, &needed);
+            BOOST_TEST_REQUIRE(plan.size() == 1U);
+            BOOST_TEST(plan[0].text == shape);
+            BOOST_TEST(plan[0].name == memory.prepared.at(needed));
+            BOOST_TEST(plan[0].name.size() == 1U);
+            BOOST_TEST(names.insert(plan[0].name).second);
+            BOOST_TEST(session::plan_replay(state, memory, &needed).empty());
+        }
+    }
+}
+
+// Guards against statements that accumulate at a server, and against a name that a reset gives to another statement: if
+// the new PREPARE were refused, an EXECUTE behind it would run the earlier statement.
+BOOST_AUTO_TEST_CASE(a_connection_is_reset_when_too_much_is_prepared_on_it) {
+    const session::session_state state{.id = 1};
+    session::connection_session_state memory;
+    std::set<std::string> names;
+    std::size_t resets = 0;
+    std::size_t most = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const session::prepared_statement needed{sql::access::read, "q" + std::to_string(i)};
+        const auto plan = session::plan_replay(state, memory, &needed);
+        resets += plan.front().kind == sql::statement_kind::reset ? 1 : 0;
+        BOOST_TEST(names.insert(plan.back().name).second);
+        most = std::max(most, memory.prepared.size());
+    }
+    BOOST_TEST(resets > 0U);
+    BOOST_TEST(most <= 256U);
+    const session::prepared_statement large{sql::access::read, std::string(900'000, 'x')};
+    const session::prepared_statement other{sql::access::read, std::string(900'000, 'y')};
+    BOOST_TEST((session::plan_replay(state, memory, &large).front().kind == sql::statement_kind::prepare));
+    BOOST_TEST((session::plan_replay(state, memory, &other).front().kind == sql::statement_kind::reset));
+    BOOST_TEST(memory.prepared.size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
