Statements: a refused SET or PREPARE is not sent again

What callers saw: an EXECUTE whose shape the server refuses got no answer until its time limit. A read behind a SET that a former primary refused got MALFORMED, although the new primary could run it; a COMMIT behind one had an unknown outcome, although its transaction was certainly rolled back.

Cause: SET and PREPARE are sent in one batch with the statement. Only the reply to the statement decided what happens next: NOSTMT looked like a connection that had lost its statements and was tried again on a new one.

Fix: a reply carries the error of the setup before it. If the statement did not run, that error decides: a permanent one is the caller's answer at once, one that can change is handled as the statement's own. A server that refuses a statement twice in a row for any reason is not asked again, as for `not_primary` before.

`sessions/read_behind_a_refused_set_...` and `commit_behind_a_refused_set_is_aborted` fail with the change taken out.

--- a/src/cornellever/routing/connection_request.hpp
+++ b/src/cornellever/routing/connection_request.hpp
@@ -29,7 +29,7 @@
     boot_clock::time_point until{};
     /// Servers on which this request already failed.
     std::vector<std::string> excluded_servers{};
-    /// The server that was presumed to be the primary but refused this request with `not_primary`.
+    /// The server that refused the previous attempt of this request.
     std::string refused_by{};
 };
 
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -106,6 +106,9 @@
                                routing::connection_request& pool_request, const routing::link_reply& reply,
                                sql::reply& out);
     [[nodiscard]] static bool refused_twice(routing::connection_request& pool_request, const std::string& server);
+    [[nodiscard]] static std::string_view describe_repeated_refusal(sql::refusal why);
+    [[nodiscard]] static std::optional<sql::statement_error> setup_refusal(const routing::link_reply& reply,
+                                                                           bool may_take_effect);
     asio::awaitable<bool> pin(transaction& tx, const statement_run& run, sql::reply& refusal);
     asio::awaitable<bool> open_read_only(pool& backends, lease& held, const std::optional<sql::log_position>& floor,
                                          time_point until);
@@ -133,8 +136,8 @@
     /// for opening a connection (30 ms) and a round trip to the primary, or for a peer's reply.
     static constexpr std::chrono::milliseconds max_sample_wait{120};
     static constexpr std::chrono::milliseconds sample_poll_interval{10};
-    /// Retry delay sent to the caller when a server refused a request because it is not the primary. This is about the
-    /// time that it takes to find the new primary after a promotion.
+    /// Retry delay sent to the caller when a server refused a request repeatedly, usually because it is not the
+    /// primary. This is about the time that it takes to find the new primary after a promotion.
     static constexpr std::chrono::milliseconds not_primary_retry_after{100};
 
     traffic_counters& m_counters;
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -260,6 +260,17 @@
         auto batch = build_batch(held, run, pool_request.floor, reply_index);
         const auto until = run.writes() ? run.until() : std::min(run.until(), boot_clock::now() + read_attempt_timeout);
         auto reply = co_await exchange(backends, held, std::move(batch), reply_index, until);
+        if (const auto refusal = setup_refusal(reply, run.writes())) {
+            if (!sql::server_did_not_run(refusal->why)) {
+                // The server would refuse the same setup again.
+                log_decision(event::request_refused, run, held.server().id,
+                             "setup_" + std::string{sql::to_string(refusal->why)});
+                out = refused(refusal->why, refusal->text, sql::transaction_state::idle);
+                held.release();
+                break;
+            }
+            reply->error = refusal;
+        }
         const auto result = run.writes() ? handle_write_reply(backends, held, run, pool_request, reply, out)
                                          : handle_read_reply(backends, held, run, pool_request, reply, out);
         if (result == outcome::answered && out.ok()) {
--- a/src/cornellever/session/statement_outcomes.ipp
+++ b/src/cornellever/session/statement_outcomes.ipp
@@ -5,13 +5,29 @@
 
 namespace cornellever::session {
 
-/// Records that `server` refused the request because it is not the primary. Returns whether the same server also
-/// refused the previous attempt; further retries would then be refused until the statement times out.
+/// Records that `server` refused the request. Returns whether the same server also refused the previous attempt;
+/// further retries would then be refused until the statement times out.
 template <routing::link_connector Connector>
 bool statement_engine<Connector>::refused_twice(routing::connection_request& pool_request, const std::string& server) {
     return std::exchange(pool_request.refused_by, server) == server;
 }
 
+template <routing::link_connector Connector>
+std::string_view statement_engine<Connector>::describe_repeated_refusal(sql::refusal why) {
+    return why == sql::refusal::not_primary ? "the primary refuses its lead" : "the server refused the statement twice";
+}
+
+/// Returns why the server refused to set up the connection for a statement that failed and did not run. Returns nothing
+/// if the connection was set up or the statement may have taken effect.
+template <routing::link_connector Connector>
+std::optional<sql::statement_error> statement_engine<Connector>::setup_refusal(const routing::link_reply& reply,
+                                                                               bool may_take_effect) {
+    if (!reply || reply->ok() || (may_take_effect && !sql::server_did_not_run(reply->why()))) {
+        return std::nullopt;
+    }
+    return reply->setup_error;
+}
+
 template <routing::link_connector Connector>
 typename statement_engine<Connector>::outcome
 statement_engine<Connector>::handle_read_reply(pool& backends, lease& held, const statement_run& run,
@@ -38,10 +54,15 @@
             pool_request.excluded_servers.push_back(id);
             break;
         case sql::refusal::not_primary:
-            backends.note_not_primary(backend);
+        case sql::refusal::no_such_prepared_statement:
+            if (why == sql::refusal::not_primary) {
+                backends.note_not_primary(backend);
+            } else {
+                held->connection->close();
+            }
             if (refused_twice(pool_request, id)) {
                 if (pool_request.primary) {
-                    out = refused_for_now("the primary refuses its lead", not_primary_retry_after);
+                    out = refused_for_now(describe_repeated_refusal(why), not_primary_retry_after);
                     return outcome::answered;
                 }
                 // A server that has just been fenced may refuse a read on several connections, on which transactions
@@ -56,9 +77,6 @@
             }
             pool_request.excluded_servers.push_back(id);
             break;
-        case sql::refusal::no_such_prepared_statement:
-            held->connection->close();
-            break;
         case sql::refusal::failed:
         case sql::refusal::timed_out:
             if (std::ranges::find(pool_request.excluded_servers, id) != pool_request.excluded_servers.end() ||
@@ -125,8 +143,8 @@
                       sql::transaction_state::idle);
         return outcome::answered;
     }
-    if (why == sql::refusal::not_primary && refused_twice(pool_request, id)) {
-        out = refused_for_now("the primary refuses its lead", not_primary_retry_after);
+    if (refused_twice(pool_request, id)) {
+        out = refused_for_now(describe_repeated_refusal(why), not_primary_retry_after);
         return outcome::answered;
     }
     log_decision(event::statement_retried, run, id, sql::to_string(why));
--- a/src/cornellever/session/statement_transactions.ipp
+++ b/src/cornellever/session/statement_transactions.ipp
@@ -85,7 +85,9 @@
     auto& held = tx.pinned;
     auto& backend = *held->server_entry;
     sql::reply out;
-    if (reply && reply->ok()) {
+    // A transaction in which a SET before the COMMIT fails is rolled back at its end.
+    const bool rolled_back = reply && !reply->ok() && reply->setup_error;
+    if (reply && reply->ok() && !reply->setup_error) {
         log_served(*tx.backends, held, run, tx.floor);
         out = *reply;
         if (const auto& position = reply->position; tx.wrote && position) {
@@ -93,7 +95,7 @@
             out.committed_at = run.route.service;
             tx.backends->note_commit(backend, held->sent_at, position);
         }
-    } else if (!tx.wrote || (reply && sql::server_did_not_run(reply->why())) ||
+    } else if (!tx.wrote || rolled_back || (reply && sql::server_did_not_run(reply->why())) ||
                (!reply && reply.error() == routing::link_failure::not_sent)) {
         out = refused(sql::refusal::aborted, "the commit did not run", sql::transaction_state::idle);
         log_decision(event::transaction_failed, run, backend.server.id, "commit_not_run");
@@ -147,6 +149,9 @@
     if (!reply) {
         co_return fail_transaction(tx, run, routing::to_string(reply.error()));
     }
+    if (auto refusal = setup_refusal(reply, false)) {
+        reply->error = std::move(refusal);
+    }
     if (reply->error) {
         if (reply->why() == sql::refusal::not_primary) {
             tx.backends->note_not_primary(*held->server_entry);
--- a/src/cornellever/sql/reply.hpp
+++ b/src/cornellever/sql/reply.hpp
@@ -44,6 +44,8 @@
     /// itself.
     std::string signature{};
     std::optional<statement_error> error{};
+    /// The error of an earlier statement of the same batch, which was to set up the connection for this statement.
+    std::optional<statement_error> setup_error{};
     transaction_state state{transaction_state::idle};
     /// The server's log position after the statement.
     std::optional<log_position> position{};
--- a/tests/platform/client_fields.cpp
+++ b/tests/platform/client_fields.cpp
@@ -235,4 +235,26 @@
     });
 }
 
+// Guards against a statement that is sent again and again until its time is over because a server refuses what has to
+// be prepared for it.
+BOOST_AUTO_TEST_CASE(a_refused_shape_fails_the_statement_at_once) {
+    for (const bool relayed : {false, true}) {
+        proxy_path path{relayed, static_cast<std::uint16_t>(relayed ? 27463 : 27461)};
+        path.primary.refused_shape = "nonsense";
+        const auto begun = boot_clock::now();
+        const auto transcript =
+            path.run({{"STARTUP strict u", "QUERY p PREPARE s WRITE nonsense", "QUERY w EXECUTE s 1a4 data",
+                       "QUERY q PREPARE s READ nonsense", "QUERY r EXECUTE s 1a4", "QUERY b BEGIN",
+                       "QUERY t EXECUTE s 1a4", "QUERY c ROLLBACK", "QUERY x WRITE 1a4 data"}});
+        BOOST_TEST((boot_clock::now() - begun < 2s));
+        BOOST_TEST(transcript.find("> QUERY w EXECUTE s 1a4 data\n< ERROR MALFORMED p\n< READY I") != std::string::npos,
+                   transcript);
+        BOOST_TEST(transcript.find("> QUERY r EXECUTE s 1a4\n< ERROR MALFORMED p\n< READY I") != std::string::npos);
+        BOOST_TEST(transcript.find("> QUERY t EXECUTE s 1a4\n< ERROR ABORTED") != std::string::npos);
+        BOOST_TEST(path.primary.unknown_names <= 3);
+        BOOST_TEST_REQUIRE(path.primary.executed.size() == 1U);
+        BOOST_TEST(path.primary.executed.front().id == "x");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -90,6 +90,7 @@
         if (m_server.answer_after.count() > 0) {
             co_await sleep_for(m_server.answer_after);
         }
+        std::optional<sql::statement_error> setup_error;
         for (std::size_t i = 0; i <= reply_index; ++i) {
             if (m_pending.empty() || m_server.silent || m_lost) {
                 co_await sleep_for(std::chrono::milliseconds{
@@ -99,6 +100,13 @@
             }
             m_last = m_pending.front();
             m_pending.erase(m_pending.begin());
+            if (i < reply_index && !m_last.ok() && !setup_error) {
+                setup_error = m_last.error;
+            }
+        }
+        if (setup_error) {
+            m_last.setup_error = std::move(setup_error);
+            close();
         }
         co_return m_last;
     }
@@ -177,6 +185,8 @@
             m_read_write = true;
         } else if (kind == statement_kind::begin_read_only) {
             m_state = sql::transaction_state::open;
+        } else if (lost_leadership && kind != statement_kind::commit) {
+            return refuse(sql::refusal::not_primary);
         } else if (kind == statement_kind::set) {
             m_values.insert_or_assign(what.what.name, what.what.text);
         } else if (kind == statement_kind::reset) {
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -96,6 +96,37 @@
     BOOST_TEST(proxy.server("r1").of("b").size() == 1U);
 }
 
+// As above, but a SET before the read makes the server refuse the read as malformed.
+BOOST_AUTO_TEST_CASE(read_behind_a_refused_set_runs_at_the_new_primary) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), request("a", statement_kind::read, "1"),
+                                    sql::request{"s", {.kind = statement_kind::set, .name = "lang", .text = "fj"}},
+                                    request("b", statement_kind::read, "2")}};
+    caller.before[3] = [&] {
+        proxy.server("p").is_primary = false;
+        proxy.server("r1").is_primary = true;
+    };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 2));
+    BOOST_TEST(proxy.server("r1").of("b").size() == 1U);
+}
+
+// Guards against an unknown outcome of a transaction that was certainly rolled back: the SET before its COMMIT failed.
+BOOST_AUTO_TEST_CASE(commit_behind_a_refused_set_is_aborted) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("strict"), request("b", statement_kind::begin),
+                                    request("w", statement_kind::write, "1 x"),
+                                    sql::request{"s", {.kind = statement_kind::set, .name = "lang", .text = "fj"}},
+                                    request("c", statement_kind::commit)}};
+    caller.before[4] = [&] {
+        proxy.server("p").is_primary = false;
+        proxy.server("r1").is_primary = true;
+    };
+    proxy.play({&caller});
+    BOOST_TEST_REQUIRE(caller.answers.size() == 4U);
+    BOOST_TEST((caller.answers[3].why() == refusal::aborted));
+}
+
 BOOST_AUTO_TEST_CASE(read_runs_on_replica_that_reached_the_floor) {
     proxy_in_memory proxy;
     caller_script caller{.events = {opening("own"), request("w", statement_kind::write, "1 x"),
