Messages: none is longer at a server than from its caller

What callers saw: INDOUBT for statements of 1 MiB that never ran; reads of 1 MiB broke a connection to each replica first.

DEALLOCATE took the first word of its name only, and a blank behind COMMIT was dropped.

The decoder follows the protocol's fields: a statement that lacks one is malformed at once, DEALLOCATE's name extends to the end of the line, and BEGIN, COMMIT and ROLLBACK have no further text.

A test asserted that EXECUTE without an item is accepted; the protocol says `EXECUTE` name item [data], so it is refused now like the other incomplete statements, and the test checks that.

--- a/src/cornellever/routing/backend_link.hpp
+++ b/src/cornellever/routing/backend_link.hpp
@@ -59,6 +59,8 @@
     {
         connector.open(server, account, until)
         } -> std::same_as<asio::awaitable<std::expected<std::unique_ptr<typename T::link>, connect_failure>>>;
+    /// Whether a request can be sent together with the log position that the server must hold.
+    { T::fits(sql::request{}, sql::log_position{}) } -> std::same_as<bool>;
     /// Decodes the reply to `statement_kind::status`. Returns nothing if the reply is an error.
     { T::status_of(sql::reply{}) } -> std::same_as<std::optional<sql::server_status>>;
 };
--- a/src/cornellever/session/relay.hpp
+++ b/src/cornellever/session/relay.hpp
@@ -36,8 +36,8 @@
 };
 
 /// Request id of the statements that restore a session's state at a peer. Peers accept only the protocol for callers,
-/// in which every statement has an id.
-inline constexpr std::string_view replay_request_id = "replay";
+/// in which every statement has an id. With an id of one character, no statement is longer than the caller's.
+inline constexpr std::string_view replay_request_id = "r";
 
 /// Returns the statements that give a new session the values and prepared statements of `from`.
 [[nodiscard]] std::vector<sql::statement> replay_statements(const session_state& from);
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -56,7 +56,8 @@
         // Without a recent freshness sample (a log position that the primary reported), no replica is known to be
         // within the staleness bound. The primary always is within the bound once it confirms its leadership, i.e. that
         // it is still the primary.
-        out.primary = !out.floor.has_value();
+        // Nor can a request run on a replica if it is too long to be sent with the position.
+        out.primary = !out.floor.has_value() || !Connector::fits(run.request, *out.floor);
     }
     return out;
 }
--- a/tests/platform/client_fields.cpp
+++ b/tests/platform/client_fields.cpp
@@ -235,6 +235,29 @@
     });
 }
 
+// Guards against a message that grows on its way until a server closes the connection, after which the outcome of a
+// statement that never ran is unknown.
+BOOST_AUTO_TEST_CASE(the_longest_messages_are_forwarded) {
+    at_one_proxy_and_through_a_second_one(27451, [&](proxy_path& path) {
+        const auto shape = longest("QUERY p PREPARE t WRITE ").substr(24);
+        const auto value = longest("QUERY s SET v ").substr(14);
+        const auto transcript = path.run({
+            {"STARTUP strict u", longest("QUERY r READ "), longest("QUERY w WRITE 1a4 ")},
+            {"STARTUP strict u", "QUERY p PREPARE s WRITE put", longest("QUERY e EXECUTE s 1a4 ")},
+            {"STARTUP strict u", "QUERY p PREPARE t WRITE " + shape, "QUERY t EXECUTE t 1a4 data"},
+            {"STARTUP strict u", "QUERY s SET v " + value, "QUERY v WRITE 1a4 data"},
+            {"STARTUP own u", "QUERY o WRITE 1a4 data", longest("QUERY f READ ")},
+        });
+        BOOST_TEST(transcript.find("\n< ERROR") == std::string::npos);
+        BOOST_TEST(transcript.find("(closed)") == std::string::npos);
+        const auto& executed = path.primary.executed;
+        BOOST_TEST_REQUIRE(executed.size() == 7U);
+        BOOST_TEST((executed[2].text == "WRITE put\n" + longest("QUERY e EXECUTE s 1a4 ").substr(18)));
+        BOOST_TEST((executed[3].text == "WRITE " + shape + "\n1a4 data"));
+        BOOST_TEST((executed[4].values == std::map<std::string, std::string>{{"v", value}}));
+    });
+}
+
 // Guards against a statement that is sent again and again until its time is over because a server refuses what has to
 // be prepared for it.
 BOOST_AUTO_TEST_CASE(a_refused_shape_fails_the_statement_at_once) {
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -51,15 +51,37 @@
     BOOST_TEST(prepare.what.name == "s1");
     BOOST_TEST((prepare.what.access_mode == sql::access::write));
     BOOST_TEST(decoded("QUERY 7 EXECUTE s1 1a4 x").what.text == "1a4 x");
-    BOOST_TEST(decoded("QUERY 7 EXECUTE s1").what.text.empty());
+    BOOST_TEST(decoded("QUERY 7 SET v ").what.text.empty());
+    BOOST_TEST(decoded("QUERY 7 WRITE 1a4 ").what.text == "1a4 ");
+    BOOST_TEST(decoded("QUERY 7 DEALLOCATE s1 x").what.name == "s1 x");
 }
 
-// Guards against forwarding a line that holds a second command, has no id, or holds a statement that only the proxy may
-// send.
+// Guards against forwarding a line that holds a second command, has no id, lacks a field, or holds a statement that
+// only the proxy may send.
 BOOST_AUTO_TEST_CASE(invalid_statements_are_malformed) {
-    for (const auto* line : {"", "QUERY", "QUERY - READ 1", "QUERY 7", "QUERY 7 DROP x", "QUERY 7 READ", "QUERY 7 SET",
-                             "QUERY 7 PREPARE a BOTH q", "QUERY 7 BEGIN WRITE", "QUERY 7 RESET", "QUERY 7 STATUS",
-                             "QUERY 7 STEPDOWN 9", "QUERY 7 AFTER 1.1 READ 1", "HELLO", "STARTUP"}) {
+    for (const auto* line : {"",
+                             "QUERY",
+                             "QUERY - READ 1",
+                             "QUERY 7",
+                             "QUERY 7 DROP x",
+                             "QUERY 7 READ",
+                             "QUERY 7 SET",
+                             "QUERY 7 PREPARE a BOTH q",
+                             "QUERY 7 BEGIN WRITE",
+                             "QUERY 7 RESET",
+                             "QUERY 7 STATUS",
+                             "QUERY 7 STEPDOWN 9",
+                             "QUERY 7 SET v",
+                             "QUERY 7 EXECUTE s1",
+                             "QUERY 7 EXECUTE s1 ",
+                             "QUERY 7 WRITE 1a4",
+                             "QUERY 7 COMMIT ",
+                             "QUERY 7 BEGIN READ ",
+                             "QUERY 7 ROLLBACK x",
+                             "QUERY 7 DEALLOCATE ",
+                             "QUERY 7 AFTER 1.1 READ 1",
+                             "HELLO",
+                             "STARTUP"}) {
         (void)as<session::malformed_input>(platform::decode_caller_line(line));
     }
 }
--- a/tests/unit/fake_link.hpp
+++ b/tests/unit/fake_link.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -318,6 +319,11 @@
         co_return std::make_unique<fake_link>(found, std::move(account));
     }
 
+    /// Requests for this item are too long to be sent with a position.
+    static constexpr std::string_view long_item{"an item that leaves no room for a position"};
+
+    static bool fits(const sql::request& request, const sql::log_position&) { return request.what.text != long_item; }
+
     static std::optional<sql::server_status> status_of(const sql::reply& from) {
         if (!from.ok() || from.rows.empty() || !from.position) {
             return std::nullopt;
--- a/tests/unit/sessions.cpp
+++ b/tests/unit/sessions.cpp
@@ -152,6 +152,41 @@
     BOOST_TEST(proxy.server("p").of("r").size() == 1U);
 }
 
+// Guards against a read that breaks connections to replicas because the position makes its message too long.
+BOOST_AUTO_TEST_CASE(read_that_leaves_no_room_for_a_position_runs_on_the_primary) {
+    proxy_in_memory proxy;
+    caller_script caller{.events = {opening("own"), request("w", statement_kind::write, "1 x"),
+                                    request("r", statement_kind::read, std::string{fake_connector::long_item})}};
+    proxy.server("r1").position = {1, 11};
+    proxy.server("r2").position = {1, 11};
+    caller.before[2] = [&] { proxy.host.tick(); };
+    proxy.play({&caller});
+    BOOST_TEST(ok(caller, 1));
+    BOOST_TEST(proxy.server("p").of("r").size() == 1U);
+}
+
+// Guards against a session that prevents its own statements: the values and prepared statements that it has stored are
+// more than a connection buffers.
+BOOST_AUTO_TEST_CASE(session_state_is_bounded) {
+    session::session_state state;
+    const std::string half(session::session_state::max_stored_bytes / 2, 'x');
+    BOOST_TEST(state.set_value("a", half));
+    BOOST_TEST(!state.set_value("b", half));
+    BOOST_TEST(!state.prepare("p", {sql::access::read, half}));
+    BOOST_TEST(state.values.size() == 1U);
+    BOOST_TEST(state.set_value("a", half));
+    BOOST_TEST(state.set_value("a", ""));
+    BOOST_TEST(state.prepare("p", {sql::access::read, half}));
+    BOOST_TEST(state.deallocate("p"));
+    BOOST_TEST(!state.deallocate("p"));
+    BOOST_TEST(state.set_value("b", half));
+    std::size_t stored = 0;
+    while (state.set_value("n" + std::to_string(stored), "")) {
+        ++stored;
+    }
+    BOOST_TEST(stored < session::session_state::max_stored_bytes / 64);
+}
+
 // Guards against a write that takes effect twice: it ran, its reply was lost, and
 // the proxy retried it.
 BOOST_AUTO_TEST_CASE(write_with_lost_reply_is_not_retried) {
