Log: a caller's text stays within one word of its line

What operators saw: `ctl explain` did not find a request whose id holds a line feed. A caller could write lines into the log, make them up to 1 MiB long, and have its line found by a search for another id.

Cause: ids and database names were logged as they are; a word ends at a blank only.

Fix: `printable_word` escapes all but printable ASCII and what delimits fields, and cuts long texts, marking them with length and hash. Ids, database names and the names repeated in errors go through it, and `ctl explain` looks for the same word. Each event is one line of at most 16 KiB whatever its fields hold.

Metrics and the state dump hold no text of callers (read: services, servers, accounts and priorities only).

--- a/src/cornellever/core/log.cpp
+++ b/src/cornellever/core/log.cpp
@@ -1,6 +1,8 @@
 #include "cornellever/core/log.hpp"
 
+#include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <condition_variable>
 #include <mutex>
 #include <string>
@@ -18,6 +20,20 @@
 
 std::atomic<severity> g_minimum{severity::info};
 
+/// Bounds what a peer's or server's text can add to the log.
+constexpr std::size_t max_line_bytes = std::size_t{16} * 1024;
+
+/// Makes `text` a single line of bounded length.
+void make_single_line(std::string& text) {
+    constexpr char replacement = '?';
+    if (text.size() > max_line_bytes) {
+        text.resize(max_line_bytes);
+        text.append("...");
+    }
+    std::ranges::replace_if(
+        text, [](unsigned char letter) { return std::iscntrl(letter) != 0; }, replacement);
+}
+
 } // namespace
 
 void init_logging(std::string_view role, severity minimum) {
@@ -172,6 +188,7 @@
     }
     auto line = "CL" + std::to_string(static_cast<unsigned>(id)) + " " + std::string{info.name} +
                 (fields.empty() ? "" : " ") + std::string{fields};
+    make_single_line(line);
     if (writer().running()) {
         writer().push(id, info.level, std::move(line));
     } else {
--- a/src/cornellever/core/log.hpp
+++ b/src/cornellever/core/log.hpp
@@ -35,6 +35,8 @@
 [[nodiscard]] bool log_enabled(severity level) noexcept;
 
 /// Logs an event as `CL<number> <name> <fields>`; `fields` are `key=value` pairs.
+/// Text of callers goes through `printable_word`. Control characters are replaced,
+/// so that an event is always one line.
 void log_event(event id, std::string_view fields = {});
 
 } // namespace cornellever
--- a/src/cornellever/ctl/explain.cpp
+++ b/src/cornellever/ctl/explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "cornellever/core/printable_word.hpp"
 #include "cornellever/ctl/log_line.hpp"
 
 namespace cornellever::ctl {
@@ -15,7 +16,7 @@
     "request.forbidden", "limit.refused"};
 
 bool mentions_request(std::string_view line, std::string_view request) {
-    const auto field = "request=" + std::string{request};
+    const auto field = " request=" + printable_word(request);
     const auto at = line.find(field);
     if (at == std::string_view::npos) {
         return false;
--- a/src/cornellever/session/statement_engine.hpp
+++ b/src/cornellever/session/statement_engine.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornellever/accounts/authorizer.hpp"
+#include "cornellever/core/printable_word.hpp"
 #include "cornellever/core/scoped_increment.hpp"
 #include "cornellever/routing/admission.hpp"
 #include "cornellever/routing/service_pool.hpp"
--- a/src/cornellever/session/statement_engine.ipp
+++ b/src/cornellever/session/statement_engine.ipp
@@ -5,9 +5,9 @@
 template <routing::link_connector Connector>
 void statement_engine<Connector>::log_decision(event id, const statement_run& run, std::string_view server,
                                                std::string_view reason) const {
-    log_event(id, "request=" + run.request.id + " database=" + run.route.database + " service=" + run.route.service +
-                      " server=" + std::string{server} + " reason=" + std::string{reason} +
-                      " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)) +
+    log_event(id, "request=" + printable_word(run.request.id) + " database=" + printable_word(run.route.database) +
+                      " service=" + run.route.service + " server=" + std::string{server} + " reason=" +
+                      std::string{reason} + " age_ms=" + std::to_string(to_ms(boot_clock::now() - run.arrival)) +
                       " aim_ms=" + std::to_string(run.route.target_latency.count()) + describe_caller(run));
 }
 
@@ -119,8 +119,9 @@
     const auto now = boot_clock::now();
     const auto* newest = backends.floor().newest();
     log_event(event::request_served,
-              "request=" + run.request.id + " database=" + run.route.database + " service=" + run.route.service +
-                  " server=" + held.server().id + " floor=" + (floor ? sql::to_string(*floor) : "lead") +
+              "request=" + printable_word(run.request.id) + " database=" + printable_word(run.route.database) +
+                  " service=" + run.route.service + " server=" + held.server().id +
+                  " floor=" + (floor ? sql::to_string(*floor) : "lead") +
                   " sample_ms=" + (newest == nullptr ? "-" : std::to_string(to_ms(now - newest->asked_at))) +
                   " in_flight=" + std::to_string(held->server_entry->in_flight) + " waiting=" +
                   std::to_string(backends.waiting()) + " ran_ms=" + std::to_string(to_ms(now - held->sent_at)) +
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -15,6 +15,7 @@
 #include "cornellever/accounts/authorizer.hpp"
 #include "cornellever/core/asio.hpp"
 #include "cornellever/core/log.hpp"
+#include "cornellever/core/printable_word.hpp"
 #include "cornellever/core/stable_hash.hpp"
 #include "cornellever/routing/drain_times.hpp"
 #include "cornellever/routing/model.hpp"
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -197,7 +197,8 @@
         }
         if (std::holds_alternative<caller_timed_out>(input) && active.open_transaction) {
             // Frees the connection that the idle transaction holds.
-            log_event(event::transaction_abandoned, "database=" + active.state.database + " reason=idle");
+            log_event(event::transaction_abandoned,
+                      "database=" + printable_word(active.state.database) + " reason=idle");
             m_engine.roll_back_transaction(*active.open_transaction);
             active.open_transaction->failed = true;
             continue;
@@ -228,7 +229,8 @@
     }
     const auto route = m_config.routes.find(active.state.database);
     if (route == m_config.routes.end()) {
-        return refused(sql::refusal::no_such_database, active.state.database, sql::transaction_state::idle);
+        return refused(sql::refusal::no_such_database, printable_word(active.state.database),
+                       sql::transaction_state::idle);
     }
     active.open_transaction.emplace(
         transaction{.route = route->second, .backends = &pool_for(route->second.service), .read_only = read_only});
@@ -311,7 +313,8 @@
     if (request.what.kind == sql::statement_kind::execute) {
         const auto found = active.state.prepared.find(request.what.name);
         if (found == active.state.prepared.end()) {
-            co_return refused(sql::refusal::no_such_prepared_statement, request.what.name, state_of(active));
+            co_return refused(sql::refusal::no_such_prepared_statement, printable_word(request.what.name),
+                              state_of(active));
         }
         prepared = &found->second;
     }
@@ -321,7 +324,8 @@
         }
         const auto found = m_config.routes.find(active.state.database);
         if (found == m_config.routes.end()) {
-            co_return refused(sql::refusal::no_such_database, active.state.database, sql::transaction_state::idle);
+            co_return refused(sql::refusal::no_such_database, printable_word(active.state.database),
+                              sql::transaction_state::idle);
         }
         // The route is copied because a newer configuration may replace it while the statement runs.
         const auto route = found->second;
--- a/src/cornellever/session/traffic_accounts.ipp
+++ b/src/cornellever/session/traffic_accounts.ipp
@@ -23,7 +23,7 @@
     if (route == m_config.routes.end()) {
         const auto why = has_configuration() ? sql::refusal::no_such_database : sql::refusal::overloaded;
         reason = sql::to_string(why);
-        return sql::statement_error{why, opening.database};
+        return sql::statement_error{why, printable_word(opening.database)};
     }
     const auto permission = m_authorizer.authorize(route->second.keyless, opening.key, boot_clock::now());
     if (permission.verdict == accounts::permission::unknown_key) {
@@ -52,9 +52,9 @@
         return false;
     }
     caller.refuse(*refusal);
-    log_event(event::session_refused,
-              "database=" + opening.database + " reason=" + reason + " key=" + opening.key.fingerprint() +
-                  " relayed=" + (opening.relayed ? "1" : "0") + " config=" + std::to_string(m_config.version));
+    log_event(event::session_refused, "database=" + printable_word(opening.database) + " reason=" + reason + " key=" +
+                                          opening.key.fingerprint() + " relayed=" + (opening.relayed ? "1" : "0") +
+                                          " config=" + std::to_string(m_config.version));
     caller.close();
     return true;
 }
@@ -71,7 +71,8 @@
     if (permission.verdict != accounts::permission::unknown_key) {
         return std::nullopt;
     }
-    log_event(event::request_forbidden, "request=" + request.id + " database=" + active.state.database +
+    log_event(event::request_forbidden, "request=" + printable_word(request.id) +
+                                            " database=" + printable_word(active.state.database) +
                                             " reason=unknown_key key=" + active.state.key.fingerprint() +
                                             " config=" + std::to_string(m_config.version));
     const bool inside = !active.outside_transaction();
@@ -125,10 +126,10 @@
     }
     const bool used_up = admission.outcome == limits::admission_result::kind::used_up;
     ++(used_up ? m_counters.over_limit_refusals : m_counters.unknown_limit_refusals);
-    log_event(event::limit_refused, "request=" + request.id + " database=" + active.state.database +
-                                        " account=" + account + " reason=" + (used_up ? "used_up" : "no_coordinator") +
-                                        " asked=" + std::to_string(admission.asked) +
-                                        " wait_ms=" + std::to_string(admission.wait.count()));
+    log_event(event::limit_refused,
+              "request=" + printable_word(request.id) + " database=" + printable_word(active.state.database) +
+                  " account=" + account + " reason=" + (used_up ? "used_up" : "no_coordinator") +
+                  " asked=" + std::to_string(admission.asked) + " wait_ms=" + std::to_string(admission.wait.count()));
     co_return refused_for_now(used_up ? "the account's limit is used up" : "the account's limit is not known",
                               admission.wait);
 }
--- a/src/cornellever/session/traffic_owners.ipp
+++ b/src/cornellever/session/traffic_owners.ipp
@@ -24,8 +24,9 @@
     const auto now = boot_clock::now();
     const auto reachable = [&](const proxy_node& item) { return !failed_recently(item.name, now); };
     if (should_return(ownership_of(service), peer, reachable)) {
-        log_event(event::session_relayed, "session=" + std::to_string(active.state.id) + " database=" +
-                                              active.state.database + " reason=owner_changed peer=" + peer);
+        log_event(event::session_relayed, "session=" + std::to_string(active.state.id) +
+                                              " database=" + printable_word(active.state.database) +
+                                              " reason=owner_changed peer=" + peer);
         return true;
     }
     const auto load = m_owner_choice.load_of(service, peer);
@@ -66,7 +67,7 @@
             m_owner_choice.load_of(route.service, owner).value_or(owner_load{}).expected_wait.count());
     };
     log_event(event::session_relayed,
-              "session=" + std::to_string(active.state.id) + " database=" + active.state.database +
+              "session=" + std::to_string(active.state.id) + " database=" + printable_word(active.state.database) +
                   " reason=owner_wait peer=" + current + " wait_ms=" + wait_at(current) + " to=" + better->name +
                   " to_wait_ms=" + wait_at(better->name) + " aim_ms=" + std::to_string(route.target_latency.count()));
     return better;
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -25,8 +25,8 @@
         return;
     }
     if (site == execution_site::detour) {
-        log_event(event::session_relayed, "session=" + std::to_string(active.state.id) +
-                                              " database=" + active.state.database + " reason=path_cut");
+        log_event(event::session_relayed, "session=" + std::to_string(active.state.id) + " database=" +
+                                              printable_word(active.state.database) + " reason=path_cut");
     }
     active.at_peer.close();
     active.site = site;
@@ -70,7 +70,7 @@
     }
     const auto replayed = replay_statements(active.state);
     if (replayed.size() >= Connector::relay::max_pending) {
-        log_event(event::connect_failed, "database=" + active.state.database +
+        log_event(event::connect_failed, "database=" + printable_word(active.state.database) +
                                              " reason=session_too_large statements=" + std::to_string(replayed.size()));
         co_return false;
     }
@@ -94,7 +94,8 @@
             co_return true;
         }
         m_peer_failures[peer.name] = boot_clock::now();
-        log_event(event::connect_failed, "owner=" + peer.name + " database=" + active.state.database + " reason=relay");
+        log_event(event::connect_failed,
+                  "owner=" + peer.name + " database=" + printable_word(active.state.database) + " reason=relay");
     }
     co_return false;
 }
@@ -130,7 +131,7 @@
             return refused(sql::refusal::malformed, "a transaction is open", at_peer.state);
         }
         if (!m_config.routes.contains(active.state.database)) {
-            return refused(sql::refusal::no_such_database, active.state.database, at_peer.state);
+            return refused(sql::refusal::no_such_database, printable_word(active.state.database), at_peer.state);
         }
         at_peer.deferred_begin = request;
         at_peer.wrote = false;
@@ -150,7 +151,7 @@
         return std::nullopt;
     case sql::statement_kind::execute:
         if (!active.state.prepared.contains(request.what.name)) {
-            return refused(sql::refusal::no_such_prepared_statement, request.what.name, at_peer.state);
+            return refused(sql::refusal::no_such_prepared_statement, printable_word(request.what.name), at_peer.state);
         }
         return std::nullopt;
     default:
@@ -262,15 +263,15 @@
             break;
         }
         ++m_counters.statements_retried;
-        log_event(event::statement_retried,
-                  "request=" + request.id + " database=" + active.state.database + " reason=owner_gone");
+        log_event(event::statement_retried, "request=" + printable_word(request.id) + " database=" +
+                                                printable_word(active.state.database) + " reason=owner_gone");
     }
     const bool commit = request.what.kind == sql::statement_kind::commit;
     const bool changes = commit ? at_peer.wrote : writes(active, request);
     auto out = reply_after_peer_loss(request, at_peer.state, changes && why != routing::link_failure::not_sent);
     const bool unknown = !out.ok() && out.why() == sql::refusal::outcome_unknown;
     log_event(unknown ? event::outcome_unknown : event::request_refused,
-              "request=" + request.id + " database=" + active.state.database +
+              "request=" + printable_word(request.id) + " database=" + printable_word(active.state.database) +
                   " reason=owner_gone answer=" + std::string{out.ok() ? "rolled_back" : sql::to_string(out.why())});
     at_peer.state = out.state;
     co_return out;
--- a/tests/platform/client_fields.cpp
+++ b/tests/platform/client_fields.cpp
@@ -280,4 +280,31 @@
     }
 }
 
+// Guards against a caller's text that begins a log line of its own, and against a log that grows with it.
+BOOST_AUTO_TEST_CASE(a_callers_text_stays_within_its_log_line) {
+    std::ostringstream captured;
+    auto* const usual = std::cout.rdbuf(captured.rdbuf());
+    at_one_proxy_and_through_a_second_one(27481, [&](proxy_path& path) {
+        std::vector<std::vector<std::string>> sessions{{"STARTUP strict u"}};
+        for (const auto& word : words()) {
+            sessions.push_back({"STARTUP " + word + " " + word});
+            sessions.front().push_back("QUERY " + word + " READ 1a4");
+            sessions.front().push_back("QUERY " + word + " EXECUTE " + word + " 1a4");
+            sessions.front().push_back("QUERY " + word + " BEGIN");
+            sessions.front().push_back("QUERY " + word + " WRITE " + word + " " + word);
+            sessions.front().push_back("QUERY " + word + " COMMIT");
+        }
+        path.run(sessions);
+    });
+    std::cout.rdbuf(usual);
+    std::istringstream lines{captured.str()};
+    std::size_t count = 0;
+    for (std::string line; std::getline(lines, line); ++count) {
+        BOOST_TEST(line.find(" CL1") != std::string::npos, line.substr(0, 200));
+        BOOST_TEST(line.size() < 1000U);
+        BOOST_TEST(line.find("request=r1 ") == std::string::npos);
+    }
+    BOOST_TEST(count > words().size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/diagnostics.cpp
+++ b/tests/unit/diagnostics.cpp
@@ -1,10 +1,15 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <regex>
+#include <sstream>
 
+#include "cornellever/core/log.hpp"
 #include "cornellever/core/log_queue.hpp"
+#include "cornellever/core/printable_word.hpp"
 #include "cornellever/ctl/explain.hpp"
 #include "cornellever/metrics/exposition.hpp"
 #include "cornellever/session/serve_settings.hpp"
@@ -42,6 +47,46 @@
     BOOST_TEST(lines.back().decisive);
 }
 
+// Guards against a caller's text that begins a line or a field of its own, and against ids that look the same.
+BOOST_AUTO_TEST_CASE(text_of_a_caller_is_one_word_of_bounded_length) {
+    BOOST_TEST(printable_word("5c0e7a21d94b36f8") == "5c0e7a21d94b36f8");
+    BOOST_TEST(printable_word("a\nb\r c=\"\\") == "a\\x0ab\\x0d\\x20c\\x3d\\x22\\x5c");
+    BOOST_TEST(printable_word("\xff\x7f") == "\\xff\\x7f");
+    const std::string long_id(1'000'000, 'x');
+    for (std::size_t length = 0; length < 400; ++length) {
+        for (const char letter : {'x', '\n'}) {
+            BOOST_TEST(printable_word(std::string(length, letter)).size() <= max_printable_word_bytes);
+        }
+    }
+    BOOST_TEST(printable_word(long_id).size() <= max_printable_word_bytes);
+    BOOST_TEST(printable_word(long_id) != printable_word(long_id + "x"));
+    BOOST_TEST(printable_word(long_id + "y") != printable_word(long_id + "x"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_found_by_an_id_of_any_bytes) {
+    const std::string id{"5c\nrequest=7"};
+    const auto log =
+        "2026-01-01T00:00:02.000 serve INFO CL1310 request.refused request=" + printable_word(id) + " reason=x\n";
+    std::vector<ctl::request_line> lines;
+    ctl::collect_request_lines("7", "a.log", log, lines);
+    ctl::collect_request_lines("5c", "a.log", log, lines);
+    BOOST_TEST(lines.empty());
+    ctl::collect_request_lines(id, "a.log", log, lines);
+    BOOST_TEST(lines.size() == 1U);
+}
+
+// Guards against text of a server or an operator that begins a log line of its own.
+BOOST_AUTO_TEST_CASE(an_event_is_one_line) {
+    std::ostringstream captured;
+    auto* const usual = std::cout.rdbuf(captured.rdbuf());
+    log_event(event::request_served, "reason=first\nsecond\r" + std::string(100'000, 'x'));
+    std::cout.rdbuf(usual);
+    const auto text = captured.str();
+    BOOST_TEST(std::ranges::count(text, '\n') == 1);
+    BOOST_TEST(text.find("first?second?") != std::string::npos);
+    BOOST_TEST(text.size() < 20'000U);
+}
+
 // Guards against requests that block on logging: when the proxy's standard output
 // is not read, its log lines fill the pipe. Lines above the bounds are dropped
 // instead, and their number is logged.
