Sessions: bound the values and prepared statements of a session

What callers saw: a session that had set 14 values of 700 kB, each acknowledged, got INDOUBT for its next write, which never ran, and for every one after it.

Cause: a connection buffers 4 MiB and is closed when more waits to be sent, and the session's state is sent in one batch with the statement. Nothing bounded the state.

Fix: values and prepared statements take at most 2 MiB a session, with an allowance for each entry. SET or PREPARE beyond it is malformed at once, the session keeps what it has, and its other statements run. Both paths, at this proxy and through another one, update the session by one function now.

Evidence: `client_fields/a_session_with_too_much_text_is_told_so` failed before with INDOUBT at one proxy.

--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -193,8 +193,7 @@
     asio::awaitable<sql::reply> run(active_session& active, const sql::request& request);
     sql::reply begin(active_session& active, bool read_only);
     sql::reply roll_back(active_session& active);
-    sql::reply prepare(active_session& active, const sql::statement& statement);
-    sql::reply deallocate(active_session& active, const sql::statement& statement);
+    sql::reply update_session(active_session& active, const sql::statement& statement);
     [[nodiscard]] static sql::transaction_state state_of(const active_session& active);
     [[nodiscard]] boot_clock::time_point request_deadline(const active_session& active) const;
 
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -247,16 +247,23 @@
     return acknowledged(sql::transaction_state::idle);
 }
 
+/// Applies a SET, PREPARE or DEALLOCATE to the session's state.
 template <routing::link_connector Connector>
-sql::reply traffic<Connector>::prepare(active_session& active, const sql::statement& statement) {
-    active.state.prepared.insert_or_assign(statement.name, prepared_statement{statement.access_mode, statement.text});
-    return acknowledged(state_of(active));
-}
-
-template <routing::link_connector Connector>
-sql::reply traffic<Connector>::deallocate(active_session& active, const sql::statement& statement) {
-    if (active.state.prepared.erase(statement.name) == 0) {
-        return refused(sql::refusal::no_such_prepared_statement, statement.name, state_of(active));
+sql::reply traffic<Connector>::update_session(active_session& active, const sql::statement& statement) {
+    auto& session = active.state;
+    bool stored = true;
+    if (statement.kind == sql::statement_kind::set) {
+        stored = session.set_value(statement.name, statement.text);
+    } else if (statement.kind == sql::statement_kind::prepare) {
+        stored = session.prepare(statement.name, {statement.access_mode, statement.text});
+    } else if (!session.deallocate(statement.name)) {
+        return refused(sql::refusal::no_such_prepared_statement, printable_word(statement.name), state_of(active));
+    }
+    if (!stored) {
+        return refused(sql::refusal::malformed,
+                       "the session's values and prepared statements take more than " +
+                           std::to_string(session_state::max_stored_bytes) + " bytes",
+                       state_of(active));
     }
     return acknowledged(state_of(active));
 }
@@ -288,12 +295,9 @@
     case sql::statement_kind::rollback:
         co_return roll_back(active);
     case sql::statement_kind::set:
-        active.state.values.insert_or_assign(request.what.name, request.what.text);
-        co_return acknowledged(state_of(active));
     case sql::statement_kind::prepare:
-        co_return prepare(active, request.what);
     case sql::statement_kind::deallocate:
-        co_return deallocate(active, request.what);
+        co_return update_session(active, request.what);
     case sql::statement_kind::commit:
     case sql::statement_kind::read:
     case sql::statement_kind::write:
--- a/src/cornellever/session/traffic_relay.ipp
+++ b/src/cornellever/session/traffic_relay.ipp
@@ -111,20 +111,14 @@
     }
     switch (kind) {
     case sql::statement_kind::set:
-        active.state.values.insert_or_assign(request.what.name, request.what.text);
-        pipeline(at_peer, request);
-        return acknowledged(at_peer.state);
     case sql::statement_kind::prepare:
-        active.state.prepared.insert_or_assign(request.what.name,
-                                               prepared_statement{request.what.access_mode, request.what.text});
-        pipeline(at_peer, request);
-        return acknowledged(at_peer.state);
-    case sql::statement_kind::deallocate:
-        if (active.state.prepared.erase(request.what.name) == 0) {
-            return refused(sql::refusal::no_such_prepared_statement, request.what.name, at_peer.state);
+    case sql::statement_kind::deallocate: {
+        auto out = update_session(active, request.what);
+        if (out.ok()) {
+            pipeline(at_peer, request);
         }
-        pipeline(at_peer, request);
-        return acknowledged(at_peer.state);
+        return out;
+    }
     case sql::statement_kind::begin:
     case sql::statement_kind::begin_read_only:
         if (at_peer.state == sql::transaction_state::open) {
--- a/tests/platform/client_fields.cpp
+++ b/tests/platform/client_fields.cpp
@@ -280,6 +280,26 @@
     }
 }
 
+// Guards against a session none of whose statements reaches a server, because its values and prepared statements are
+// more than a connection buffers.
+BOOST_AUTO_TEST_CASE(a_session_with_too_much_text_is_told_so) {
+    constexpr std::size_t value_bytes = 700'000;
+    at_one_proxy_and_through_a_second_one(27471, [&](proxy_path& path) {
+        std::vector<std::string> lines{"STARTUP strict u"};
+        for (const auto* name : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n"}) {
+            lines.push_back("QUERY s SET " + std::string{name} + " " + std::string(value_bytes, *name));
+        }
+        lines.emplace_back("QUERY w WRITE 1a4 data");
+        const auto transcript = path.run({lines});
+        const auto& executed = path.primary.executed;
+        BOOST_TEST_REQUIRE(executed.size() == 1U);
+        BOOST_TEST(executed.front().values.size() > 0U);
+        BOOST_TEST(executed.front().values.size() < 14U);
+        BOOST_TEST(transcript.find("\n< ERROR MALFORMED the session's values") != std::string::npos);
+        BOOST_TEST(tail(transcript).find("COMPLETE sig.") != std::string::npos);
+    });
+}
+
 // Guards against a caller's text that begins a log line of its own, and against a log that grows with it.
 BOOST_AUTO_TEST_CASE(a_callers_text_stays_within_its_log_line) {
     std::ostringstream captured;
