Empty logs: the first registry after an outage of the store may lack servers

The users' pages say that expired registrations are back within about two seconds of the store's return.

Fix: for 2.5 s after the first registry of a process, or one after a copy that was not confirmed for 3 s, an empty log is not proven; callers of that service are refused with the time that is left. A service whose log holds commits is not affected.

Evidence: `server_restarts/empty_primary_is_not_used_while_servers_may_be_missing_from_the_registry` fails with the time set to 0 (the read ran on the empty primary) and passes now.

--- a/src/cornellever/routing/service_pool.hpp
+++ b/src/cornellever/routing/service_pool.hpp
@@ -118,6 +118,10 @@
     /// Records that this proxy had `id` promoted. If its log was empty then, the promotion rolled back all commits.
     void note_promoted(const std::string& id);
 
+    /// Records that until `until` the registry may lack servers that lost their registration during an outage of the
+    /// store. One of them may hold the commits that an empty log lacks.
+    void await_returning_servers(time_point until) { m_registry_complete_at = until; }
+
     /// If the primary cannot be used because its log is empty and a server that may hold the commits does not respond,
     /// returns the time until that server is contacted again.
     [[nodiscard]] std::optional<std::chrono::milliseconds> unproven_log_retry_after() const;
@@ -357,6 +361,7 @@
     bool m_is_owner{true};
     bool m_path_cut{false};
     time_point m_no_successor_until{};
+    time_point m_registry_complete_at{};
 };
 
 } // namespace cornellever::routing
--- a/src/cornellever/routing/service_pool_leadership.ipp
+++ b/src/cornellever/routing/service_pool_leadership.ipp
@@ -52,7 +52,8 @@
 /// Whether a primary with an empty log may have lost commits. A proxy that knows of no commit cannot distinguish a new
 /// service from one whose primary lost its log, so every other registered server has to report its position first. A
 /// position that was requested before this proxy found the log empty does not count, because commits may have followed.
-/// No timeout ends the wait: a server that does not respond may hold all commits until it is deregistered.
+/// No timeout ends the wait: a server that does not respond may hold all commits until it is deregistered, and so may
+/// one that has not registered again after an outage of the store.
 template <link_connector Connector>
 bool service_pool<Connector>::is_log_unproven(const slot& held, const sql::log_position& reported) {
     auto& at = *held.server_entry;
@@ -70,7 +71,8 @@
     }
     const auto now = boot_clock::now();
     const auto awaited = unreported_since(at, at.empty_log_since.value_or(now));
-    if (at.promoted_with_empty_log || awaited.empty()) {
+    const bool registry_complete = now >= m_registry_complete_at;
+    if (at.promoted_with_empty_log || (awaited.empty() && registry_complete)) {
         at.promoted_with_empty_log = false;
         at.empty_log_since.reset();
         at.empty_log_proven_at = now;
@@ -84,7 +86,7 @@
         }
         log_event(event::primary_lost, "service=" + m_service + " server=" + at.server.id +
                                            " reason=log_unproven position=" + sql::to_string(reported) +
-                                           " awaits=" + ids);
+                                           " awaits=" + ids + " registry_complete=" + (registry_complete ? "1" : "0"));
     }
     return true;
 }
@@ -155,6 +157,9 @@
     }
     const auto& primary = *unproven->second;
     std::optional<time_point> next_contact;
+    if (boot_clock::now() < m_registry_complete_at) {
+        next_contact = m_registry_complete_at;
+    }
     for (const auto* item : unreported_since(primary, *primary.empty_log_since)) {
         if (item->unreachable()) {
             next_contact = std::max(next_contact.value_or(time_point{}), item->open_after);
--- a/src/cornellever/session/traffic.hpp
+++ b/src/cornellever/session/traffic.hpp
@@ -63,7 +63,7 @@
     void update(routing::configuration config);
 
     /// Applies a registry of backend servers; a registry older than the current one is ignored. The one before was last
-    /// confirmed as current at `before_current_at`.
+    /// confirmed as current at `before_current_at`, or never if that is the clock's epoch.
     void update(routing::registry servers, boot_clock::time_point before_current_at = boot_clock::now());
 
     /// Records that the configuration in force, or an older one, was confirmed to be current at the time `at`. This
@@ -221,6 +221,12 @@
     /// reach the primary. The primary is polled at least five times a second, and a connection that the network dropped
     /// is detected in 0.7 s.
     static constexpr std::chrono::milliseconds primary_silence_limit{600};
+    /// Age of the last confirmation of the registry from which the store is presumed to have been unavailable. It is
+    /// shorter than the silence after which a server's registration expires.
+    static constexpr std::chrono::milliseconds store_outage_threshold{3000};
+    /// How long after an outage of the store a server may take to register again, with the time until this proxy learns
+    /// of it.
+    static constexpr std::chrono::milliseconds registration_return_time{2500};
     /// How much longer than the statement's timeout this proxy waits for a peer's reply. The peer itself enforces the
     /// statement's timeout.
     static constexpr std::chrono::milliseconds peer_reply_slack{300};
@@ -232,6 +238,8 @@
     routing::configuration m_config;
     routing::registry m_registry;
     routing::drain_times m_drain_times;
+    /// Until then, servers may be missing from the registry (see `service_pool::await_returning_servers`).
+    boot_clock::time_point m_registry_complete_at{};
     bool m_stop_announced{false};
     std::vector<proxy_node> m_proxies;
     primary_paths m_paths;
--- a/src/cornellever/session/traffic.ipp
+++ b/src/cornellever/session/traffic.ipp
@@ -25,7 +25,14 @@
     if (servers.version < m_registry.version) {
         return;
     }
-    m_drain_times.update(m_registry, servers, before_current_at, boot_clock::now());
+    const auto now = boot_clock::now();
+    m_drain_times.update(m_registry, servers, before_current_at, now);
+    if (before_current_at == boot_clock::time_point{} || now - before_current_at > store_outage_threshold) {
+        m_registry_complete_at = now + registration_return_time;
+        for (auto& [name, backends] : m_pools) {
+            backends->await_returning_servers(m_registry_complete_at);
+        }
+    }
     m_registry = std::move(servers);
     if (m_ownership.update_slots(m_registry)) {
         update_connection_budgets();
@@ -58,6 +65,7 @@
     auto& found = m_pools[service];
     if (found == nullptr) {
         found = std::make_unique<pool>(m_executor, m_connector, service, m_data_center);
+        found->await_returning_servers(m_registry_complete_at);
         if (const auto reported = m_reported_positions.extract(service)) {
             found->note_reported_position(reported.mapped().server, reported.mapped().furthest);
         }
--- a/tests/unit/server_restarts.cpp
+++ b/tests/unit/server_restarts.cpp
@@ -244,6 +244,53 @@
     BOOST_TEST(proxy.server("p").of("b").empty());
 }
 
+// Guards against reads of an empty database: a proxy that starts during an outage of the store reads a registry that
+// does not hold the server with the commits yet, and both servers in it have lost their logs.
+BOOST_AUTO_TEST_CASE(empty_primary_is_not_used_while_servers_may_be_missing_from_the_registry) {
+    proxy_in_memory proxy{proxy_in_memory::unconfigured{}};
+    proxy.server("p").is_primary = true;
+    proxy.server("p").position = {1, 0};
+    proxy.server("r1").position = {1, 0};
+    auto incomplete = three_servers();
+    incomplete.servers.erase("r2");
+    proxy.host.update(three_databases());
+    proxy.host.update(incomplete, boot_clock::time_point{});
+    proxy.host.set_proxies(make_proxies(3));
+    caller_script early{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+    proxy.play({&early});
+    BOOST_TEST_REQUIRE(early.answers.size() == 1U);
+    BOOST_TEST(!early.answers[0].ok());
+    BOOST_TEST(early.answers[0].error_text().find("retry after") != std::string::npos);
+    BOOST_TEST(proxy.server("p").of("a").empty());
+    auto complete = three_servers();
+    complete.version = 2;
+    proxy.host.update(complete);
+    proxy.run_for(2600ms);
+    caller_script late{.events = {opening("strict"), request("b", statement_kind::read, "1")}};
+    proxy.play({&late});
+    BOOST_TEST(proxy.server("p").of("b").empty());
+}
+
+// Guards against refusing a service whose log is empty for longer than a server may take to register again.
+BOOST_AUTO_TEST_CASE(empty_primary_is_used_once_no_server_can_be_missing_from_the_registry) {
+    proxy_in_memory proxy{proxy_in_memory::unconfigured{}};
+    proxy.server("p").is_primary = true;
+    for (const auto* id : {"p", "r1", "r2"}) {
+        proxy.server(id).position = {1, 0};
+    }
+    proxy.host.update(three_databases());
+    proxy.host.update(three_servers(), boot_clock::time_point{});
+    proxy.host.set_proxies(make_proxies(3));
+    caller_script early{.events = {opening("strict"), request("a", statement_kind::read, "1")}};
+    proxy.play({&early});
+    BOOST_TEST(proxy.server("p").of("a").empty());
+    proxy.run_for(2600ms);
+    caller_script late{.events = {opening("strict"), request("b", statement_kind::read, "1")}};
+    proxy.play({&late});
+    BOOST_TEST_REQUIRE(late.answers.size() == 1U);
+    BOOST_TEST(late.answers[0].ok());
+}
+
 // Guards against reads of an empty database: the log of a new service was empty when its servers reported it, and the
 // primary lost the commits that followed.
 BOOST_AUTO_TEST_CASE(earlier_reports_of_empty_logs_do_not_count_after_a_restart) {
