Soak: callers' fields of any bytes and lengths, servers that check them

Callers draw ids, items, data, value names, values, statement names and shapes of any bytes, now and then long ones, and statements of the maximum length; shapes contain one another. Emulated servers follow the users' pages where they were more lenient: they refuse an unknown name (NOSTMT), an access mode other than READ or WRITE, a SET without a value, any statement of a transaction whose server lost its lead, and one shape; they report an EXECUTE of a name that was prepared and is unknown, one that is sent again after a refusal that cannot change, a message of more than 1 MiB, and a position before other statements than reads and BEGIN. At the end each line of the proxies' logs has to report an event.

--- a/tests/emulator/consistency_checker.hpp
+++ b/tests/emulator/consistency_checker.hpp
@@ -68,6 +68,9 @@
     /// A server executed a caller's statement and replies with this signature and row.
     void record_execution(const std::string& id, std::string signature, std::string row);
 
+    /// Counts a statement that a server refused since it names no prepared statement; returns the count.
+    int count_unprepared(const std::string& id) { return ++m_unprepared[id]; }
+
     /// Whether any server executed the statement with this id.
     [[nodiscard]] bool was_executed(const std::string& id) const { return m_executions.contains(id); }
 
@@ -130,6 +133,7 @@
     std::set<std::string, std::less<>> m_refused_writes;
     /// Writes that a lossless promotion discarded, none of which may be acknowledged later.
     std::set<std::string, std::less<>> m_discarded_losslessly;
+    std::map<std::string, int, std::less<>> m_unprepared;
     std::size_t m_violations{0};
     std::size_t m_reads_checked{0};
     std::size_t m_successes{0};
--- a/tests/emulator/control_statements.cpp
+++ b/tests/emulator/control_statements.cpp
@@ -63,11 +63,20 @@
         client.end_transaction();
     } else if (client.state == 'E') {
         return error_reply(client, "MALFORMED");
+    } else if (client.read_write && (!is_primary() || client.term != m_term)) {
+        return error_reply(client, "READONLY");
     } else if (word == "SET") {
+        if (!rest.contains(' ')) {
+            return error_reply(client, "MALFORMED");
+        }
         const auto name = next_word(rest);
         client.values[name] = rest;
     } else if (word == "PREPARE") {
         const auto name = next_word(rest);
+        const bool valid = rest.starts_with("READ ") || rest.starts_with("WRITE ");
+        if (!valid || rest.substr(rest.find(' ') + 1) == refused_shape) {
+            return error_reply(client, "MALFORMED");
+        }
         client.prepared[name] = rest;
     } else if (word == "RESET") {
         client.values.clear();
--- a/tests/emulator/replicated_service.cpp
+++ b/tests/emulator/replicated_service.cpp
@@ -18,6 +18,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto unlimited_statement_time = 4ms;
+constexpr std::size_t line_terminator_bytes = 2;
 
 /// Returns the text in quotes, with escape sequences for unprintable bytes.
 std::string printable(std::string_view text) {
@@ -115,6 +116,11 @@
         if (!line || !m_running) {
             break;
         }
+        if (line->size() + line_terminator_bytes > platform::max_message_bytes) {
+            m_service.checker().report_violation("long message", m_id + " received a message of " +
+                                                                     std::to_string(line->size()) + " bytes");
+            break;
+        }
         if (line->starts_with("STARTUP ")) {
             client.user = line->substr(0, line->rfind(' '));
             client.user.erase(0, client.user.rfind(' ') + 1);
@@ -214,6 +220,11 @@
     if (line.starts_with("AFTER ")) {
         next_word(line);
         const auto needed = platform::parse_position(next_word(line));
+        if (!line.starts_with("READ ") && !line.starts_with("EXECUTE ") && !line.starts_with("BEGIN")) {
+            m_service.checker().report_violation("unknown statement",
+                                                 m_id + " received a position before " + printable(line));
+            return error_reply(client, "MALFORMED");
+        }
         if (!needed || !has_applied(*needed)) {
             return error_reply(client, "LAGGING");
         }
@@ -259,6 +270,24 @@
     }
 }
 
+/// Returns whether the statement that an EXECUTE names is prepared. Checks that one of a shape that is not refused is,
+/// and that a statement whose shape is refused is not sent again and again.
+bool emulated_server::knows_prepared_statement(const session& client, const request& issued, const std::string& text) {
+    constexpr int max_attempts = 3;
+    auto rest = text;
+    next_word(rest);
+    if (client.prepared.contains(next_word(rest))) {
+        return true;
+    }
+    if (!issued.prepared.ends_with(refused_shape)) {
+        m_service.checker().report_violation("unknown prepared statement",
+                                             printable(issued.id + " " + issued.text.substr(0, 200)) + " at " + m_id);
+    } else if (m_service.checker().count_unprepared(issued.id) > max_attempts) {
+        m_service.checker().report_violation("repeated refusal", printable(issued.id) + " was sent again to " + m_id);
+    }
+    return false;
+}
+
 /// Checks that the statement arrives as its caller sent it, with the session
 /// variables of its caller.
 void emulated_server::check_statement(const session& client, const request& issued, const std::string& text) {
@@ -273,8 +302,11 @@
         matches = rest == expected && prepared != client.prepared.end() && prepared->second == issued.prepared;
     }
     if (!matches) {
-        m_service.checker().report_violation("altered statement", issued.id + " was " + printable(issued.text) +
-                                                                      " and arrived as " + printable(text));
+        constexpr std::size_t shown_bytes = 300;
+        m_service.checker().report_violation(
+            "altered statement", printable(issued.id) + " was " + printable(issued.text.substr(0, shown_bytes)) +
+                                     " with " + printable(issued.prepared.substr(0, shown_bytes)) + " and arrived as " +
+                                     printable(text.substr(0, shown_bytes)));
     }
     if (client.values != issued.values) {
         m_service.checker().report_violation("session variables",
@@ -297,6 +329,9 @@
     if (lost_primary_role || (writes && (!is_primary() || m_log_lost))) {
         return error_reply(client, "READONLY");
     }
+    if (text.starts_with("EXECUTE ") && !knows_prepared_statement(client, issued, text)) {
+        return error_reply(client, "NOSTMT");
+    }
     check_transaction(client, issued);
     check_statement(client, issued, text);
     if (!writes) {
--- a/tests/emulator/replicated_service.hpp
+++ b/tests/emulator/replicated_service.hpp
@@ -38,6 +38,8 @@
 class emulated_server {
 public:
     static constexpr std::chrono::milliseconds usual_lag{20};
+    /// Servers refuse to prepare statements of this shape.
+    static constexpr std::string_view refused_shape{"refused shape"};
 
     emulated_server(asio::io_context& io, replicated_service& service, std::string id, std::string data_center,
                     tcp::endpoint address);
@@ -97,6 +99,7 @@
     [[nodiscard]] std::string status_row() const;
     void check_transaction(session& client, const request& issued);
     void check_statement(const session& client, const request& issued, const std::string& text);
+    [[nodiscard]] bool knows_prepared_statement(const session& client, const request& issued, const std::string& text);
     std::string success_reply(session& client, const request& issued, const std::string& row);
     std::string error_reply(session& client, std::string_view code);
     [[nodiscard]] std::string ready_line(const session& client) const;
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -11,6 +11,7 @@
 /// A route's statement timeout (1.2 s) plus the time the proxy may need beyond it.
 constexpr auto reply_timeout = 4s;
 constexpr auto max_pause_ms = 30;
+constexpr std::size_t max_id_bytes = 4096;
 
 std::uint64_t next_id() {
     static std::uint64_t last = 0;
@@ -32,7 +33,7 @@
     , m_pick_proxy{std::move(pick_proxy)}
     , m_on_disconnect{std::move(on_disconnect)}
     , m_random{seed}
-    , m_data_random{~seed} {}
+    , m_texts{~seed} {}
 
 asio::awaitable<bool> caller::connect(tcp::endpoint proxy, const database& target_database) {
     m_connection.reset();
@@ -56,7 +57,7 @@
 
 asio::awaitable<caller::outcome> caller::execute(std::string text, std::string prepared) {
     const auto now = boot_clock::now();
-    auto& issued = m_checker.record_request({.id = "q" + std::to_string(next_id()),
+    auto& issued = m_checker.record_request({.id = request_id(),
                                              .text = text,
                                              .session = m_session,
                                              .transaction = m_transaction,
@@ -145,8 +146,8 @@
 /// of other sessions on purpose.
 asio::awaitable<bool> caller::prepare_session() {
     for (std::uint64_t i = random_below(3); i > 0; --i) {
-        const auto name = "v" + std::to_string(random_below(3));
-        const auto value = std::to_string(random_below(4));
+        const auto name = m_texts.one_in(4) ? m_texts.word() : "v" + std::to_string(random_below(3));
+        const auto value = m_texts.one_in(4) ? m_texts.text() : std::to_string(random_below(4));
         const auto result = co_await execute("SET " + name + " " + value);
         if (!result.replied || !result.reply.ok()) {
             co_return false;
@@ -154,43 +155,71 @@
         m_values[name] = value;
     }
     for (std::uint64_t i = random_below(3); i > 0; --i) {
-        const auto name = "s" + std::to_string(i);
-        const auto shape =
-            std::string{random_below(2) == 0 ? "READ" : "WRITE"} + " shape" + std::to_string(random_below(6));
-        const auto result = co_await execute("PREPARE " + name + " " + shape);
+        const auto name = m_texts.one_in(4) ? m_texts.word() : "s" + std::to_string(i);
+        const auto prepared = std::string{random_below(2) == 0 ? "READ " : "WRITE "} + shape();
+        const auto result = co_await execute("PREPARE " + name + " " + prepared);
         if (!result.replied || !result.reply.ok()) {
             co_return false;
         }
-        m_prepared[name] = shape;
+        m_prepared[name] = prepared;
     }
     co_return true;
 }
 
 std::string caller::statement(bool write, std::string& prepared) {
+    const auto item = m_texts.one_in(8) ? m_texts.word() : "item" + std::to_string(random_below(40));
+    const auto operands = write ? item + " " + m_texts.text() : item;
     for (const auto& [name, shape] : m_prepared) {
         if (shape.starts_with(write ? "WRITE" : "READ") && random_below(2) == 0) {
             prepared = shape;
-            return "EXECUTE " + name + " item" + std::to_string(random_below(40)) + (write ? " " + data() : "");
+            return with_rarely_maximum_length("EXECUTE " + name + " " + operands);
         }
     }
-    return (write ? "WRITE item" : "READ item") + std::to_string(random_below(40)) + (write ? " " + data() : "");
+    return with_rarely_maximum_length((write ? "WRITE " : "READ ") + operands);
 }
 
-/// Returns data of any bytes but CR LF, which ends a line.
-std::string caller::data() {
-    constexpr std::uint64_t max_bytes = 24;
-    constexpr std::string_view frequent{"\n\r \0", 4};
-    std::string out(m_data_random() % (max_bytes + 1), ' ');
-    for (auto& item : out) {
-        const auto drawn = m_data_random();
-        item = drawn % 3 == 0 ? frequent[drawn / 3 % frequent.size()] : static_cast<char>(drawn / 3 % 256);
+/// Appends to some texts what makes them of the maximum length, together with the longest id of a request.
+std::string caller::with_rarely_maximum_length(std::string text) {
+    constexpr std::uint64_t long_statements = 1000;
+    const auto framing = std::string_view{"QUERY  \r\n"}.size() + max_id_bytes;
+    if (m_texts.one_in(long_statements)) {
+        text.resize(platform::max_message_bytes - framing, 'd');
     }
-    for (auto at = out.find("\r\n"); at != std::string::npos; at = out.find("\r\n")) {
-        out[at] = '\n';
+    return text;
+}
+
+/// Returns a unique id, some of which hold any bytes.
+std::string caller::request_id() {
+    auto out = "q" + std::to_string(next_id());
+    if (m_texts.one_in(4)) {
+        out += "." + m_texts.word();
+        out.resize(std::min(out.size(), max_id_bytes));
     }
     return out;
 }
 
+/// Returns a shape: one of a few that many callers prepare, one that contains such a shape, one that servers refuse, or
+/// any text.
+std::string caller::shape() {
+    const auto common = [&] { return "shape" + std::to_string(random_below(6)); };
+    switch (random_below(12)) {
+    case 0:
+        return common() + " " + common();
+    case 1:
+        return common() + (random_below(2) == 0 ? " WRITE " : " READ ") + common();
+    case 2:
+        return " " + common();
+    case 3:
+        return common() + " ";
+    case 4:
+        return m_texts.word() + m_texts.text();
+    case 5:
+        return std::string{emulated_server::refused_shape};
+    default:
+        return common();
+    }
+}
+
 asio::awaitable<bool> caller::run_operation() {
     if (random_below(4) == 0) {
         co_return co_await run_transaction();
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -9,8 +9,10 @@
 #include <vector>
 
 #include "consistency_checker.hpp"
+#include "field_texts.hpp"
 #include "platform/line_socket.hpp"
 #include "platform/statement_codec.hpp"
+#include "replicated_service.hpp"
 
 namespace cornellever::soak {
 
@@ -51,7 +53,9 @@
     asio::awaitable<bool> run_transaction();
     asio::awaitable<bool> end_transaction(const std::vector<std::string>& writes);
     std::string statement(bool write, std::string& prepared);
-    std::string data();
+    std::string with_rarely_maximum_length(std::string text);
+    std::string shape();
+    std::string request_id();
     void record_outcome(const request& issued, const outcome& result, const std::vector<std::string>& writes);
     [[nodiscard]] std::uint64_t random_below(std::uint64_t limit) { return m_random() % limit; }
 
@@ -60,7 +64,7 @@
     balancer m_pick_proxy;
     disconnect_handler m_on_disconnect;
     std::mt19937_64 m_random;
-    std::mt19937_64 m_data_random;
+    field_texts m_texts;
     std::unique_ptr<platform::line_socket> m_connection;
     tcp::endpoint m_proxy;
     const database* m_database{nullptr};
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
+#include <regex>
 
 #include "cornellever/rpc/envelope.hpp"
 #include "platform/http_client.hpp"
@@ -520,6 +522,22 @@
     }
 }
 
+/// Checks that each line of the proxies' logs reports an event, so that no text of a caller begins a line of its own.
+void scenario::check_logs() {
+    // A line begins with its time, such as 2026-01-31T12:00:00.000.
+    const std::regex event_line{R"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3} serve [A-Z]+ CL\d{4} )"};
+    for (auto& item : m_proxies) {
+        std::ifstream log{m_settings.folder / (item->name() + ".log")};
+        // The last line may be incomplete.
+        for (std::string line, next; std::getline(log, next); line = std::move(next)) {
+            if (!line.empty() && !std::regex_search(line, event_line, std::regex_constants::match_continuous)) {
+                m_checker.report_violation("log line", item->name() + " logged '" + line.substr(0, 200) + "'");
+                break;
+            }
+        }
+    }
+}
+
 void scenario::start_caller(std::vector<database> databases, std::uint64_t seed) {
     m_callers.push_back(std::make_unique<caller>(
         m_checker, std::move(databases), [this] { return pick_proxy(); },
@@ -566,6 +584,7 @@
     co_await sleep_for(1500ms);
     co_await check_recovered();
     co_await stop_all();
+    check_logs();
     std::printf("seed %llu: %s\n", static_cast<unsigned long long>(m_settings.seed), m_checker.summary().c_str());
     co_return m_checker.violations();
 }
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -101,6 +101,7 @@
     asio::awaitable<void> recover();
     asio::awaitable<void> check_recovered();
     asio::awaitable<void> stop_all();
+    void check_logs();
     void supervise(proxy_process& proxy);
     void publish_registration(emulated_server& server);
     void publish_configuration();
