--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -57,7 +57,10 @@
 
 asio::awaitable<caller::outcome> caller::execute(std::string text, std::string prepared) {
     const auto now = boot_clock::now();
-    auto& issued = m_checker.record_request({.id = request_id(),
+    auto id = request_id();
+    const auto framing = std::string_view{"QUERY  \r\n"}.size() + id.size();
+    text.resize(std::min(text.size(), platform::max_message_bytes - framing));
+    auto& issued = m_checker.record_request({.id = std::move(id),
                                              .text = text,
                                              .session = m_session,
                                              .transaction = m_transaction,
@@ -178,12 +181,11 @@
     return with_rarely_maximum_length((write ? "WRITE " : "READ ") + operands);
 }
 
-/// Appends to some texts what makes them of the maximum length, together with the longest id of a request.
+/// Appends to some texts what makes their messages of the maximum length; `execute` cuts off what does not fit.
 std::string caller::with_rarely_maximum_length(std::string text) {
     constexpr std::uint64_t long_statements = 1000;
-    const auto framing = std::string_view{"QUERY  \r\n"}.size() + max_id_bytes;
     if (m_texts.one_in(long_statements)) {
-        text.resize(platform::max_message_bytes - framing, 'd');
+        text.resize(platform::max_message_bytes, 'd');
     }
     return text;
 }
