Soak: a registration that returns late; known faults brought up to date

The soak's callers made a shape of a word and a text, of which the first may end with CR and the second begin with LF.

--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -213,8 +213,10 @@
         return " " + common();
     case 3:
         return common() + " ";
-    case 4:
-        return m_texts.word() + m_texts.text();
+    case 4: {
+        auto text = m_texts.text();
+        return text.empty() ? common() : text;
+    }
     case 5:
         return std::string{emulated_server::refused_shape};
     default:
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -289,6 +289,11 @@
     const auto draw_nothing = [] { return std::nullopt; };
     m_phase_faults.push_back({"store restored from a snapshot", false, draw_nothing,
                               [this](const auto& arguments) { restore_store(duration_of(arguments)); }});
+    m_phase_faults.push_back({"registration expired", false, draw_nothing, [this](const auto& arguments) {
+                                  m_store->remove("servers", arguments.target);
+                                  m_published.erase(arguments.target);
+                                  m_unregistered_until[arguments.target] = boot_clock::now() + duration_of(arguments);
+                              }});
     m_phase_faults.push_back({"end of the faults", true, draw_nothing, [](const auto&) {}});
 }
 
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -139,7 +139,7 @@
 }
 
 void scenario::publish_registration(emulated_server& server) {
-    if (!m_store->available()) {
+    if (!m_store->available() || boot_clock::now() < m_unregistered_until[server.id()]) {
         return;
     }
     auto& published = m_published[server.id()];
--- a/tests/soak/scenario.hpp
+++ b/tests/soak/scenario.hpp
@@ -162,6 +162,8 @@
     time_point m_callers_started_at{};
     std::map<std::string, std::string> m_published;
     std::map<std::string, time_point> m_down_since;
+    /// Until when servers whose registration has expired do not register again.
+    std::map<std::string, time_point> m_unregistered_until;
     std::uint64_t m_config_version{10};
     /// Databases whose routes were moved, and the services that they are routed to.
     std::map<std::string, std::string> m_moved_routes;
