Tests: one loop for pending calls, and the project's word parser in the loopback server

Two tests of promotions carried out the pending calls of a simulation in the same loop; simulation::play_until serves both. The loopback server had a next_word of its own, a copy of the one in core/text_parsing.hpp, which it calls now.

No product code, check or expectation changes.

--- a/tests/platform/loopback_server.hpp
+++ b/tests/platform/loopback_server.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cornellever/core/asio.hpp"
+#include "cornellever/core/text_parsing.hpp"
 #include "platform/line_socket.hpp"
 
 namespace cornellever::test {
@@ -101,28 +102,20 @@
         }
     }
 
-    /// Removes the first word from `rest` and returns it.
-    static std::string next_word(std::string& rest) {
-        const auto blank = rest.find(' ');
-        auto word = rest.substr(0, blank);
-        rest = blank == std::string::npos ? std::string{} : rest.substr(blank + 1);
-        return word;
-    }
-
     std::string refuse(session& current, std::string_view code) const {
         current.state = current.state == 'I' ? 'I' : 'E';
         return "ERROR " + std::string{code} + " " + m_id + "\r\n" + ready(current);
     }
 
     std::string reply_to(const std::string& line, session& current) {
-        auto text = line;
-        next_word(text);
-        const auto id = next_word(text);
-        if (text.starts_with("AFTER ")) {
-            next_word(text);
-            next_word(text);
+        std::string_view request{line};
+        (void)next_word(request);
+        const auto id = next_word(request);
+        if (request.starts_with("AFTER ")) {
+            (void)next_word(request);
+            (void)next_word(request);
         }
-        auto rest = text;
+        auto rest = request;
         const auto word = next_word(rest);
         if (current.state == 'E' && word != "ROLLBACK" && word != "COMMIT") {
             return refuse(current, "MALFORMED");
@@ -130,17 +123,18 @@
         if (id == "-") {
             return reply_to_proxy(word, rest, current);
         }
+        std::string text{request};
         std::string row;
         if (word == "COMMIT") {
             ++m_number;
             current.state = 'I';
         } else if (word == "EXECUTE") {
-            const auto found = current.prepared.find(next_word(rest));
+            const auto found = current.prepared.find(std::string{next_word(rest)});
             if (found == current.prepared.end()) {
                 ++unknown_names;
                 return refuse(current, "NOSTMT");
             }
-            text = found->second + "\n" + rest;
+            text = found->second + "\n" + std::string{rest};
         }
         if (text.starts_with("WRITE ")) {
             if (!m_is_primary) {
@@ -148,16 +142,16 @@
             }
             m_number += current.state == 'I' ? 1 : 0;
         } else if (text.starts_with("READ ")) {
-            row = "ROW row-of-" + rest.substr(rest.rfind(' ') + 1, max_row_bytes) + "\r\n";
+            row = "ROW row-of-" + std::string{rest.substr(rest.rfind(' ') + 1, max_row_bytes)} + "\r\n";
         } else if (word != "COMMIT") {
             return refuse(current, "MALFORMED");
         }
-        executed.push_back({id, text, current.values});
+        executed.push_back({std::string{id}, text, current.values});
         return row + "COMPLETE sig." + std::to_string(++m_signatures) + "\r\n" + ready(current);
     }
 
     /// Returns the reply to a statement that a proxy itself issued.
-    std::string reply_to_proxy(const std::string& word, std::string rest, session& current) {
+    std::string reply_to_proxy(std::string_view word, std::string_view rest, session& current) {
         if (word == "BEGIN") {
             if (rest != "READ" && !m_is_primary) {
                 return refuse(current, "READONLY");
@@ -166,10 +160,10 @@
         } else if (word == "ROLLBACK") {
             current.state = 'I';
         } else if (word == "SET") {
-            const auto name = next_word(rest);
+            const std::string name{next_word(rest)};
             current.values[name] = rest;
         } else if (word == "PREPARE") {
-            const auto name = next_word(rest);
+            const std::string name{next_word(rest)};
             const bool valid = rest.starts_with("READ ") || rest.starts_with("WRITE ");
             if (!valid || rest.substr(rest.find(' ') + 1) == refused_shape) {
                 return refuse(current, "MALFORMED");
--- a/tests/unit/promotions.cpp
+++ b/tests/unit/promotions.cpp
@@ -61,6 +61,20 @@
         co_await done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         co_return answered;
     }
+
+    /// Carries out the pending calls in their order, all of them answered, until `ended` returns true.
+    void play_until(const std::function<bool()>& ended) {
+        while (!ended()) {
+            io.poll();
+            io.restart();
+            if (!pending.empty()) {
+                auto call = std::move(pending.front());
+                pending.pop_front();
+                call.apply();
+                call.finish(true);
+            }
+        }
+    }
 };
 
 // Arguments of co_await are named first: g++ 12 destroys a temporary twice that was made there by a
@@ -315,16 +329,7 @@
         std::optional<cluster::promotion_outcome> outcome;
         asio::co_spawn(state.io, only.run("stock", "old", cluster::primary_verdict::lost),
                        [&](const std::exception_ptr&, cluster::promotion_outcome got) { outcome = std::move(got); });
-        while (!outcome) {
-            state.io.poll();
-            state.io.restart();
-            if (!state.pending.empty()) {
-                auto call = std::move(state.pending.front());
-                state.pending.pop_front();
-                call.apply();
-                call.finish(true);
-            }
-        }
+        state.play_until([&] { return outcome.has_value(); });
         BOOST_TEST(outcome->event == (back ? "leads_still" : "leads"));
         BOOST_TEST(state.orders.size() == (back ? 0U : 1U));
     }
@@ -393,16 +398,7 @@
     std::optional<cluster::promotion_outcome> outcome;
     asio::co_spawn(state.io, only.run("stock", "old", why, 1),
                    [&](const std::exception_ptr&, cluster::promotion_outcome ended) { outcome = std::move(ended); });
-    while (!outcome) {
-        state.io.poll();
-        state.io.restart();
-        if (!state.pending.empty()) {
-            auto call = std::move(state.pending.front());
-            state.pending.pop_front();
-            call.apply();
-            call.finish(true);
-        }
-    }
+    state.play_until([&] { return outcome.has_value(); });
     return *outcome;
 }
 
